--- /dev/null
+++ b/src/node/forwarding/answer-sink.ts
@@ -0,0 +1,104 @@
+/** Passes an answer on to the caller: whole, or as a stream of events that may come from several upstreams. */
+import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { createEventCutter } from "./event-cutter.js";
+import type { EventCutter } from "./event-cutter.js";
+
+export interface AnswerSink {
+    /** The caller has received a part of an answer. */
+    hasBegun(): boolean;
+    /** Id of the last event that the caller has. */
+    lastEventId(): string | undefined;
+    /** Prepares a stream. The head of the first upstream is kept and goes out with the first event. */
+    beginStream(status: number, headers: IncomingHttpHeaders): void;
+    /** Begins a plain answer that is passed on as it arrives. */
+    beginPlain(status: number, headers: IncomingHttpHeaders): void;
+    /**
+     * Returns the whole events of a chunk that the caller does not have yet.
+     *
+     * @throws EventStreamError
+     */
+    takeEvents(chunk: Buffer): Buffer | undefined;
+    /** Writes to the caller. Returns false when the caller reads too slowly. */
+    write(data: Buffer): boolean;
+    /** Calls the listener once the caller has read what is waiting; replaces the listener before. */
+    onDrain(listener: (() => void) | undefined): void;
+    /** Ends a stream that the upstream ended. Returns false when an event is incomplete. */
+    endStream(): boolean;
+    end(): void;
+    /** Sends a whole answer. */
+    deliver(answer: {
+        readonly status: number;
+        readonly headers: IncomingHttpHeaders;
+        readonly body: Buffer;
+    }): void;
+}
+
+export interface AnswerSinkOptions {
+    readonly response: ServerResponse;
+    readonly encodeHeaders: (headers: IncomingHttpHeaders) => OutgoingHttpHeaders;
+    /** Id of the last event that the caller had before this request. */
+    readonly lastEventId: string | undefined;
+    readonly onFirstByte: () => void;
+}
+
+export function createAnswerSink(options: AnswerSinkOptions): AnswerSink {
+    const { response } = options;
+    const cutter: EventCutter = createEventCutter(options.lastEventId);
+    let streamHead: { readonly status: number; readonly headers: OutgoingHttpHeaders } | undefined;
+    let begun = false;
+    let drainListener: (() => void) | undefined;
+    response.on("drain", () => {
+        const listener = drainListener;
+        drainListener = undefined;
+        listener?.();
+    });
+
+    const begin = (status: number, headers: OutgoingHttpHeaders): void => {
+        begun = true;
+        options.onFirstByte();
+        response.writeHead(status, headers);
+    };
+
+    const beginStreamIfNeeded = (): void => {
+        if (!begun && streamHead !== undefined) {
+            begin(streamHead.status, streamHead.headers);
+        }
+    };
+
+    return {
+        hasBegun: () => begun,
+        lastEventId: () => cutter.lastEventId(),
+        beginStream: (status, headers) => {
+            cutter.discardPending();
+            if (!begun) {
+                const { "content-length": _length, ...rest } = options.encodeHeaders(headers);
+                streamHead = { status, headers: rest };
+            }
+        },
+        beginPlain: (status, headers) => begin(status, options.encodeHeaders(headers)),
+        takeEvents: chunk => cutter.push(chunk),
+        write: data => {
+            beginStreamIfNeeded();
+            return response.write(data);
+        },
+        onDrain: listener => {
+            drainListener = listener;
+        },
+        endStream: () => {
+            if (cutter.pendingBytes() > 0) {
+                return false;
+            }
+            beginStreamIfNeeded();
+            response.end();
+            return true;
+        },
+        end: () => response.end(),
+        deliver: answer => {
+            begin(answer.status, {
+                ...options.encodeHeaders(answer.headers),
+                "content-length": answer.body.length,
+            });
+            response.end(answer.body);
+        },
+    };
+}
--- /dev/null
+++ b/src/node/forwarding/exchange.ts
@@ -0,0 +1,379 @@
+/** Serves one request of a caller: attempts at upstreams until it has its answer or an end. */
+import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { Clock } from "../common/clock.js";
+import type { Random } from "../common/random.js";
+import type { RequestTrace } from "../logging/request-log.js";
+import type { Route, Service, Workspace } from "../routes/entities.js";
+import { chooseRunner } from "../runners/runner-choice.js";
+import type { Choice } from "../runners/runner-choice.js";
+import type { Runner } from "../runners/runner-table.js";
+import type { UpstreamSend } from "../upstreams/send.js";
+import { createAnswerSink } from "./answer-sink.js";
+import { promisesNotRun, runAttempt } from "./attempt.js";
+import type { AttemptResult, BufferedAnswer } from "./attempt.js";
+import { giveUp, nextStep } from "./attempt-policy.js";
+import type { NextStep, RequestProgress } from "./attempt-policy.js";
+import type { LatencyReference } from "./latency-reference.js";
+import { escalationModel, firstModel } from "./model-choice.js";
+import type { ModelChoiceSettings } from "./model-choice.js";
+import type { HeaderCodec, RequestHead } from "./protocol.js";
+import type { RetryBudget } from "./retry-budget.js";
+
+/** A request that was read and matched to a route. */
+export interface MatchedRequest {
+    readonly head: RequestHead;
+    readonly method: string;
+    /** Path with query, as the caller sent it. */
+    readonly path: string;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: Buffer;
+    readonly route: Route;
+    readonly service: Service;
+    readonly workspace: Workspace | undefined;
+    /** Monotonic time at which the head of the request arrived. */
+    readonly arrivedAt: number;
+    readonly trace: RequestTrace;
+    readonly callerLeft: AbortSignal;
+}
+
+/** How a request ended, for metrics and logs. */
+export interface ExchangeEnd {
+    readonly outcome: "delivered" | "refused" | "failed" | "passed-failure" | "timed-out" | "caller-left";
+    readonly status: number;
+    readonly attempts: number;
+    readonly reason: string | undefined;
+    /** Time to the first byte of the answer, milliseconds. */
+    readonly firstByteMilliseconds: number | undefined;
+}
+
+export interface ExchangeEnvironment {
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly codec: HeaderCodec;
+    readonly send: UpstreamSend;
+    /** Upstreams that may get requests of the service now. */
+    readonly runnersOf: (service: string) => readonly Runner[];
+    /** Versions that a request of the service should run on, by its session; `undefined` for all. */
+    readonly versionsOf: (
+        service: string,
+        sessionKey: string,
+    ) => ((version: string) => boolean) | undefined;
+    /** Remembers on which version a session runs. */
+    readonly recordSession: (sessionKey: string, runner: Runner) => void;
+    readonly retryBudget: RetryBudget;
+    readonly latencies: LatencyReference;
+    readonly modelChoice: ModelChoiceSettings;
+    /** Requests a second that this node may send to one cold upstream of a service. */
+    readonly coldAllowance: (service: Service, runner: Runner) => number;
+    /** Takes the outcome of an attempt as evidence about the upstream's version. */
+    readonly recordEvidence: (
+        runner: Runner,
+        stratum: string,
+        succeeded: boolean,
+        latencyMilliseconds: number | undefined,
+    ) => void;
+}
+
+/** Time to wait for a connection, milliseconds: many round trips within a region. */
+const CONNECT_MILLISECONDS = 400;
+
+/** Time to the head of an answer after which an upstream counts as hung, relative to the target latency. */
+const HEAD_TIMEOUT_RATIO = 1.5;
+
+/** Pause of a stream after which it goes on elsewhere, relative to the longest one that is on time. */
+const GAP_TIMEOUT_RATIO = 0.8;
+
+/** Share of the target latency for which a request may wait for an upstream with room. */
+const WAIT_RATIO = 1 / 8;
+
+/** Share of the retry budget that escalations leave for retries. */
+const ESCALATION_RESERVE = 0.25;
+
+/** Time after which a refused caller should come back, seconds: about the time of one answer. */
+const RETRY_AFTER_SECONDS = 0.3;
+
+const HTTP_BAD_GATEWAY = 502;
+const HTTP_UNAVAILABLE = 503;
+const HTTP_GATEWAY_TIMEOUT = 504;
+
+/** Key of the prompt prefix that a request shares with others: its last part but one. */
+function affinityKeyOf(head: RequestHead, model: string | undefined): string | undefined {
+    const shared = head.promptParts.at(-2) ?? head.promptParts.at(-1);
+    return shared === undefined ? undefined : `${model ?? ""}\u0000${shared.id}`;
+}
+
+/** Key by which requests of one session are told: the last part of their prompt. */
+function sessionKeyOf(head: RequestHead): string {
+    return head.promptParts.at(-1)?.id ?? head.attemptId ?? "";
+}
+
+/** Sends an answer of the router itself, unless a part of another one is out. */
+export function sendOwnAnswer(
+    response: ServerResponse,
+    codec: HeaderCodec,
+    attemptId: string | undefined,
+    status: number,
+    message: string,
+    retryAfterSeconds?: number,
+): void {
+    if (response.headersSent) {
+        // The channel closes without the end of the answer, so that it cannot look complete.
+        response.destroy();
+        return;
+    }
+    const body = JSON.stringify({ error: message });
+    const headers: OutgoingHttpHeaders = {
+        ...codec.encodeOwnAnswer(attemptId),
+        ...(retryAfterSeconds === undefined ? {} : { "retry-after": String(retryAfterSeconds) }),
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(body),
+    };
+    response.writeHead(status, headers);
+    response.end(body);
+}
+
+export function createExchanges(environment: ExchangeEnvironment) {
+    const { clock, codec } = environment;
+
+    return async (request: MatchedRequest, response: ServerResponse): Promise<ExchangeEnd> => {
+        const { head, route, service, trace } = request;
+        const callerMilliseconds = head.remainingMilliseconds ?? Infinity;
+        const deadline = request.arrivedAt + Math.min(callerMilliseconds, route.timeoutMilliseconds);
+        const sessionKey = sessionKeyOf(head);
+        const excluded = new Set<string>();
+        const isModelChosen = head.isModelOpen && route.models.length > 0;
+        let model = isModelChosen ? firstModel(route.models) : undefined;
+        let runs = 0;
+        let rejections = 0;
+        let waited = false;
+        let firstByteMilliseconds: number | undefined;
+        let lastFailure: BufferedAnswer | undefined;
+        let retryAfterSeconds: number | undefined;
+        const sink = createAnswerSink({
+            response,
+            encodeHeaders: headers => codec.encodeResponse(headers),
+            lastEventId: head.lastEventId,
+            onFirstByte: () => {
+                firstByteMilliseconds = clock.now() - request.arrivedAt;
+            },
+        });
+        environment.retryBudget.recordRequest(service.name, clock.now());
+
+        const choose = (): Choice | undefined =>
+            chooseRunner(environment.runnersOf(service.name), {
+                now: clock.now(),
+                affinityKey: affinityKeyOf(head, model),
+                prefersVersion: environment.versionsOf(service.name, sessionKey),
+                excluded,
+                coldAllowance: runner => environment.coldAllowance(service, runner),
+                random: environment.random,
+            });
+
+        const progress = (hasCandidate: boolean): RequestProgress => ({
+            route,
+            runs,
+            rejections,
+            hasBegun: sink.hasBegun(),
+            remainingMilliseconds: deadline - clock.now(),
+            hasCandidate,
+            takeBudget: () => environment.retryBudget.take(service.name, clock.now()),
+        });
+
+        const isDoubted = (confidence: number | undefined): boolean => {
+            if (!isModelChosen || sink.hasBegun() || runs + 1 >= route.maximumAttempts) {
+                return false;
+            }
+            const larger = escalationModel(
+                {
+                    models: route.models,
+                    current: model!,
+                    confidence,
+                    costs: service.modelCosts,
+                    promptTokens: head.promptTokens,
+                    outputTokens: head.maximumOutputTokens,
+                },
+                environment.modelChoice,
+            );
+            const hasBudget =
+                environment.retryBudget.remainingShare(service.name, clock.now()) > ESCALATION_RESERVE;
+            if (larger === undefined || !hasBudget || !environment.retryBudget.take(service.name, clock.now())) {
+                return false;
+            }
+            model = larger;
+            return true;
+        };
+
+        const attemptAt = async (choice: Choice): Promise<AttemptResult> => {
+            const { runner } = choice;
+            const usedModel = model;
+            const sentAt = clock.now();
+            const stratum = `${route.name}\u0000${usedModel ?? ""}`;
+            let headMilliseconds: number | undefined;
+            runner.active += 1;
+            if (head.promptParts.length > 0) {
+                environment.recordSession(sessionKey, runner);
+            }
+            runner.recentSends.push(sentAt);
+            if (runner.recentSends.length > 64) {
+                runner.recentSends.splice(0, 32);
+            }
+            trace.add("attempts", "Sent the request to an upstream.", {
+                upstream: runner.entry.id,
+                version: runner.entry.version,
+                model: usedModel,
+                score: Math.round(choice.score * 10) / 10,
+                runnerUp: choice.runnerUp,
+                candidates: choice.candidates,
+                remainingMilliseconds: Math.round(deadline - sentAt),
+                resumeAfter: sink.lastEventId(),
+            });
+            const mayMove = route.kind !== "once" && choice.candidates > 1;
+            const result = await runAttempt({
+                send: environment.send,
+                request: {
+                    address: `http://${runner.entry.address}`,
+                    method: request.method,
+                    path: request.path,
+                    headers: codec.encodeRequest(request.headers, {
+                        remainingMilliseconds: Math.max(1, Math.floor(deadline - sentAt)),
+                        upstreamId: runner.entry.id,
+                        workspace: request.workspace?.name,
+                        model: usedModel,
+                        lastEventId: sink.lastEventId(),
+                        priority: undefined,
+                    }),
+                    body: request.body.length === 0 ? undefined : request.body,
+                    ownConnection: route.kind === "once",
+                    headTimeoutMilliseconds: 0,
+                    idleTimeoutMilliseconds: 0,
+                },
+                attemptId: head.attemptId,
+                sink,
+                decodeHead: (status, headers) => codec.decodeResponse(status, headers),
+                isDoubted,
+                connectMilliseconds: CONNECT_MILLISECONDS,
+                headMilliseconds: mayMove ? route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO : undefined,
+                gapMilliseconds:
+                    mayMove && route.resumable && route.targetGapMilliseconds !== undefined
+                        ? route.targetGapMilliseconds * GAP_TIMEOUT_RATIO
+                        : undefined,
+                remainingMilliseconds: Math.max(0, deadline - sentAt),
+                callerLeft: request.callerLeft,
+                onHead: () => {
+                    headMilliseconds = clock.now() - sentAt;
+                },
+            });
+            runner.active -= 1;
+            recordResult(result, runner, stratum, headMilliseconds);
+            trace.add("attempts", "An attempt ended.", {
+                upstream: runner.entry.id,
+                model: usedModel,
+                result: result.kind,
+                reason: "reason" in result ? result.reason : undefined,
+                confidence: result.kind === "doubted" ? result.confidence : undefined,
+                headMilliseconds: headMilliseconds === undefined ? undefined : Math.round(headMilliseconds),
+                milliseconds: Math.round(clock.now() - sentAt),
+            });
+            return result;
+        };
+
+        const recordResult = (
+            result: AttemptResult,
+            runner: Runner,
+            stratum: string,
+            headMilliseconds: number | undefined,
+        ): void => {
+            const now = clock.now();
+            switch (result.kind) {
+                case "delivered":
+                case "doubted": {
+                    const slowness = environment.latencies.record(stratum, headMilliseconds ?? 0);
+                    runner.health.recordSuccess(slowness);
+                    environment.recordEvidence(runner, stratum, true, headMilliseconds);
+                    break;
+                }
+                case "not-run":
+                    rejections += 1;
+                    excluded.add(runner.entry.id);
+                    runner.health.recordRejection(now);
+                    retryAfterSeconds = result.retryAfterSeconds;
+                    return;
+                case "failed":
+                case "lost":
+                    excluded.add(runner.entry.id);
+                    runner.health.recordFailure(now);
+                    environment.recordEvidence(runner, stratum, false, headMilliseconds);
+                    lastFailure = result.kind === "failed" ? result.answer : lastFailure;
+                    break;
+                case "ended":
+                    break;
+            }
+            runs += 1;
+        };
+
+        /** Waits once for an upstream with room, within a small share of the target latency. */
+        const waitForRoom = async (): Promise<boolean> => {
+            const wait = route.targetLatencyMilliseconds * WAIT_RATIO;
+            if (waited || sink.hasBegun() || deadline - clock.now() < 2 * wait) {
+                return false;
+            }
+            waited = true;
+            trace.add("attempts", "Waits for an upstream with room.", { milliseconds: wait });
+            await new Promise(resolve => setTimeout(resolve, wait));
+            return !request.callerLeft.aborted;
+        };
+
+        const run = async (): Promise<NextStep> => {
+            for (;;) {
+                let choice = choose();
+                if (choice === undefined && runs === 0 && (await waitForRoom())) {
+                    excluded.clear();
+                    choice = choose();
+                }
+                if (choice === undefined) {
+                    return lastFailure !== undefined && !sink.hasBegun()
+                        ? { kind: "pass-failure" }
+                        : giveUp(progress(false), "no upstream can take the request");
+                }
+                const result = await attemptAt(choice);
+                const step = nextStep(result, progress(choose() !== undefined));
+                if (step.kind !== "again") {
+                    return step;
+                }
+            }
+        };
+
+        const finish = (step: NextStep): Pick<ExchangeEnd, "outcome" | "status" | "reason"> => {
+            const own = (status: number, message: string, retryAfter?: number): void =>
+                sendOwnAnswer(response, codec, head.attemptId, status, message, retryAfter);
+            switch (step.kind) {
+                case "done":
+                case "again":
+                    return { outcome: "delivered", status: response.statusCode, reason: undefined };
+                case "refuse":
+                    own(HTTP_UNAVAILABLE, step.reason, retryAfterSeconds ?? RETRY_AFTER_SECONDS);
+                    return { outcome: "refused", status: HTTP_UNAVAILABLE, reason: step.reason };
+                case "pass-failure":
+                    if (promisesNotRun(lastFailure!.status)) {
+                        const reason = `upstream answered ${lastFailure!.status} without saying that it did not run`;
+                        own(HTTP_BAD_GATEWAY, reason);
+                        return { outcome: "failed", status: HTTP_BAD_GATEWAY, reason };
+                    }
+                    sink.deliver(lastFailure!);
+                    return { outcome: "passed-failure", status: lastFailure!.status, reason: undefined };
+                case "fail":
+                    own(HTTP_BAD_GATEWAY, step.reason);
+                    return { outcome: "failed", status: HTTP_BAD_GATEWAY, reason: step.reason };
+                case "time-over":
+                    own(HTTP_GATEWAY_TIMEOUT, "the time of the request is over");
+                    return { outcome: "timed-out", status: HTTP_GATEWAY_TIMEOUT, reason: undefined };
+                case "caller-left":
+                    response.destroy();
+                    return { outcome: "caller-left", status: 0, reason: undefined };
+            }
+        };
+
+        const step = await run();
+        return { ...finish(step), attempts: runs + rejections, firstByteMilliseconds };
+    };
+}
--- a/src/node/logging/logging.ts
+++ b/src/node/logging/logging.ts
@@ -1,6 +1,6 @@
 /**
  * Loggers per part, on loglevel. A line has the time, the level, the part's prefix, a short sentence and the
- * key facts as `key=value`.
+ * key facts, as text with `key=value` or as one JSON object.
  */
 import loglevel from "loglevel";
 
@@ -26,6 +26,8 @@
     readonly parts: readonly string[];
     /** Written to by the loggers; a line each. */
     readonly write: (line: string) => void;
+    /** @default "text" */
+    readonly format?: "text" | "json";
 }
 
 function formatFacts(facts: LogFacts | undefined): string {
@@ -38,9 +40,34 @@
         .join("");
 }
 
+/** Formats a line as one JSON object. */
+export function formatJsonLine(part: string, level: string, sentence: string, facts?: LogFacts): string {
+    return JSON.stringify({ time: new Date().toISOString(), level, part, message: sentence, ...facts });
+}
+
+const LEVELS: Readonly<Record<string, number>> = loglevel.levels as unknown as Record<string, number>;
+
+function createJsonLogger(part: string, level: LogLevel, write: (line: string) => void): Logger {
+    const lowest = LEVELS[level.toUpperCase()]!;
+    const writerOf = (name: string) => (sentence: string, facts?: LogFacts) => {
+        if (LEVELS[name.toUpperCase()]! >= lowest) {
+            write(formatJsonLine(part, name, sentence, facts));
+        }
+    };
+    return {
+        debug: writerOf("debug"),
+        info: writerOf("info"),
+        warn: writerOf("warn"),
+        error: writerOf("error"),
+    };
+}
+
 export function createLogging(options: LoggingOptions): LoggerFactory {
     const levels = new Map(options.parts.map(entry => entry.split("=") as [string, LogLevel]));
     return part => {
+        if (options.format === "json") {
+            return createJsonLogger(part, levels.get(part) ?? options.level, options.write);
+        }
         const logger = loglevel.getLogger(Symbol(part));
         logger.methodFactory = methodName => (line: string) => {
             options.write(`${new Date().toISOString()} ${methodName.toUpperCase()} [${part}] ${line}`);
--- /dev/null
+++ b/src/node/metrics/registry.ts
@@ -0,0 +1,111 @@
+/** Counters, gauges and latency histograms of a node, served as text in the exposition format. */
+import { createServer } from "node:http";
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import type { Lifecycle } from "../lifecycle/lifecycle.js";
+
+export type Labels = Readonly<Record<string, string>>;
+
+export interface MetricsRegistry {
+    /** Adds one to a counter. */
+    count(name: string, labels?: Labels): void;
+    /** Registers a value that is read when the metrics are fetched. */
+    gauge(name: string, read: () => number | undefined): void;
+    /** Records a duration, milliseconds. */
+    observe(name: string, milliseconds: number, labels?: Labels): void;
+    /** All metrics as text. */
+    text(): string;
+}
+
+/** Prefix of every metric name. */
+const METRIC_PREFIX = "geraniumbarrow_";
+
+/** Longest duration that a histogram tells apart, milliseconds. */
+const LONGEST_MILLISECONDS = 60_000;
+
+const QUANTILES = [0.5, 0.9, 0.99, 1];
+
+function seriesName(name: string, labels: Labels): string {
+    const text = Object.entries(labels)
+        .map(([key, value]) => `${key}=${JSON.stringify(value)}`)
+        .join(",");
+    return text === "" ? name : `${name}{${text}}`;
+}
+
+export function createMetricsRegistry(): MetricsRegistry {
+    const counters = new Map<string, number>();
+    const gauges = new Map<string, () => number | undefined>();
+    const histograms = new Map<string, { name: string; labels: Labels; histogram: Histogram; sum: number }>();
+
+    const histogramLines = (): readonly string[] =>
+        [...histograms.values()].flatMap(({ name, labels, histogram, sum }) => [
+            ...QUANTILES.map(quantile => {
+                const series = seriesName(name, { ...labels, quantile: String(quantile) });
+                return `${series} ${histogram.getValueAtPercentile(quantile * 100)}`;
+            }),
+            `${seriesName(`${name}_count`, labels)} ${histogram.totalCount}`,
+            `${seriesName(`${name}_sum`, labels)} ${Math.round(sum)}`,
+        ]);
+
+    return {
+        count: (name, labels = {}) => {
+            const series = seriesName(`${METRIC_PREFIX}${name}`, labels);
+            counters.set(series, (counters.get(series) ?? 0) + 1);
+        },
+        gauge: (name, read) => {
+            gauges.set(`${METRIC_PREFIX}${name}`, read);
+        },
+        observe: (name, milliseconds, labels = {}) => {
+            const fullName = `${METRIC_PREFIX}${name}`;
+            const series = seriesName(fullName, labels);
+            let entry = histograms.get(series);
+            if (entry === undefined) {
+                const histogram = build({
+                    bitBucketSize: 32,
+                    highestTrackableValue: LONGEST_MILLISECONDS,
+                    numberOfSignificantValueDigits: 2,
+                    useWebAssembly: false,
+                });
+                entry = { name: fullName, labels, histogram, sum: 0 };
+                histograms.set(series, entry);
+            }
+            const value = Math.max(0, Math.min(LONGEST_MILLISECONDS, Math.round(milliseconds)));
+            entry.histogram.recordValue(value);
+            entry.sum += value;
+        },
+        text: () => {
+            const gaugeLines = [...gauges].flatMap(([name, read]) => {
+                const value = read();
+                return value === undefined ? [] : [`${name} ${Math.round(value * 1000) / 1000}`];
+            });
+            const counterLines = [...counters].map(([series, value]) => `${series} ${value}`);
+            return `${[...counterLines, ...gaugeLines, ...histogramLines()].join("\n")}\n`;
+        },
+    };
+}
+
+/** Serves the metrics on every path of a port. */
+export function serveMetrics(
+    registry: MetricsRegistry,
+    address: string,
+    port: number,
+    lifecycle: Lifecycle,
+): void {
+    const server = createServer((_request, response) => {
+        response.setHeader("content-type", "text/plain; version=0.0.4");
+        response.end(registry.text());
+    });
+    lifecycle.add({
+        name: "metrics listener",
+        start: async () => {
+            await new Promise<void>((resolve, reject) => {
+                server.once("error", reject);
+                server.listen(port, address, resolve);
+            });
+            return () => {
+                server.close();
+                server.closeAllConnections();
+            };
+        },
+    });
+}
--- /dev/null
+++ b/src/node/router/node-list.ts
@@ -0,0 +1,97 @@
+/** The nodes of the deployment, as each announces itself in the store. */
+import { rendezvousOrder } from "../common/hash.js";
+import type { Lifecycle } from "../lifecycle/lifecycle.js";
+import type { Logger } from "../logging/logging.js";
+import type { RowReplica } from "../replica/row-replica.js";
+import type { SharedStore } from "../replica/shared-store.js";
+
+export interface NodeEntry {
+    readonly id: string;
+    readonly dataCentre: string;
+    /** Base URL of the listener for peers. */
+    readonly peerAddress: string;
+}
+
+export interface NodeList {
+    /** Nodes that announced themselves and did not leave. Nodes that died without a word are still listed. */
+    entries(): readonly NodeEntry[];
+    /** Number of nodes to divide shared limits by. */
+    count(): number;
+    /** Requests a second that this node may send to a cold upstream, of those that all nodes may send together. */
+    shareOf(upstream: string, requestsPerSecond: number): number;
+}
+
+export interface NodeListOptions {
+    readonly self: NodeEntry;
+    readonly replica: RowReplica;
+    readonly store: SharedStore;
+    readonly lifecycle: Lifecycle;
+    readonly logger: Logger;
+}
+
+const KEY_PREFIX = "node/";
+
+/** Nodes assumed while the list was never read. More than most deployments have, so shares are rather too small. */
+const UNKNOWN_NODE_COUNT = 16;
+
+/** Time between tries to announce the node, milliseconds. */
+const ANNOUNCE_INTERVAL_MILLISECONDS = 1000;
+
+export function createNodeList(options: NodeListOptions): NodeList {
+    const { self, replica, store, logger } = options;
+    const key = `${KEY_PREFIX}${self.id}`;
+    const value = JSON.stringify(self);
+    let cached: readonly NodeEntry[] = [];
+    replica.onChange(changes => {
+        if (changes.some(change => change.key.startsWith(KEY_PREFIX))) {
+            cached = replica.list(KEY_PREFIX).map(row => JSON.parse(row.value!) as NodeEntry);
+            logger.info("The list of nodes changed.", { nodes: cached.length, revision: replica.revision });
+        }
+    });
+
+    const announce = (): void => {
+        if (replica.revision === 0 || replica.get(key)?.value === value) {
+            return;
+        }
+        store
+            .transact({ conditions: [], writes: [{ table: "nodes", key, value }] })
+            .catch((error: unknown) =>
+                logger.warn("Could not announce the node; trying again.", { error: (error as Error).message }),
+            );
+    };
+
+    options.lifecycle.add({
+        name: "node list",
+        start: () => {
+            const timer = setInterval(announce, ANNOUNCE_INTERVAL_MILLISECONDS);
+            replica.onChange(announce);
+            return async () => {
+                clearInterval(timer);
+                await store
+                    .transact({ conditions: [], writes: [{ table: "nodes", key, value: undefined }] })
+                    .catch((error: unknown) =>
+                        logger.warn("Could not take the node off the list.", {
+                            error: (error as Error).message,
+                        }),
+                    );
+            };
+        },
+    });
+
+    const count = (): number => (cached.length === 0 ? UNKNOWN_NODE_COUNT : cached.length);
+
+    return {
+        entries: () => cached,
+        count,
+        shareOf: (upstream, requestsPerSecond) => {
+            const share = requestsPerSecond / count();
+            if (share >= 1) {
+                return Math.floor(share);
+            }
+            // Fewer requests than nodes: the first nodes in the upstream's own order send one each.
+            const ids = cached.map(entry => entry.id);
+            const rank = rendezvousOrder(upstream, ids).indexOf(self.id);
+            return rank >= 0 && rank < Math.floor(requestsPerSecond) ? 1 : 0;
+        },
+    };
+}
--- /dev/null
+++ b/src/node/router/operator-state.ts
@@ -0,0 +1,91 @@
+/** What the operators' orders say at the moment, kept from the rows of the configuration table. */
+import type { Logger } from "../logging/logging.js";
+import type { RowChange } from "../replica/row-replica.js";
+import { createRouteTable } from "../routes/route-table.js";
+import type { RouteTable } from "../routes/route-table.js";
+import type { ShiftOrder } from "../shifts/shift.js";
+import type { OperatorOrder } from "./adapter.js";
+
+export interface OperatorState {
+    apply(changes: readonly RowChange[]): void;
+    /** `undefined` while no configuration is known. */
+    routes(): RouteTable | undefined;
+    shiftOrders(): readonly ShiftOrder[];
+    isEvacuated(dataCentre: string): boolean;
+    evacuated(): readonly string[];
+}
+
+export interface OperatorStateOptions {
+    readonly decode: (row: RowChange) => OperatorOrder | undefined;
+    readonly onConfiguration: (table: RouteTable) => void;
+    readonly logger: Logger;
+}
+
+export function createOperatorState(options: OperatorStateOptions): OperatorState {
+    const { logger } = options;
+    const orders = new Map<string, OperatorOrder>();
+    let table: RouteTable | undefined;
+
+    const remove = (key: string): void => {
+        const order = orders.get(key);
+        // A configuration that was in force stays so until the next one.
+        if (order === undefined || order.kind === "configuration") {
+            return;
+        }
+        orders.delete(key);
+        logger.info("An order was taken back.", { order: key });
+    };
+
+    const put = (row: RowChange): void => {
+        let order: OperatorOrder | undefined;
+        try {
+            order = options.decode(row);
+        }
+        catch (error) {
+            logger.error("Could not read an order; going on with the one before.", {
+                order: row.key,
+                revision: row.revision,
+                error: (error as Error).message,
+            });
+            return;
+        }
+        if (order === undefined) {
+            return;
+        }
+        orders.set(row.key, order);
+        if (order.kind === "configuration") {
+            table = createRouteTable(order.configuration);
+            logger.info("A configuration is in force.", {
+                version: order.configuration.version,
+                revision: row.revision,
+                routes: order.configuration.routes.length,
+            });
+            options.onConfiguration(table);
+        }
+        else {
+            logger.info("An order is in force.", { order: row.key, revision: row.revision });
+        }
+    };
+
+    const ofKind = <Kind extends OperatorOrder["kind"]>(kind: Kind) =>
+        [...orders.values()].filter(
+            (order): order is Extract<OperatorOrder, { kind: Kind }> => order.kind === kind,
+        );
+
+    return {
+        apply: changes => {
+            for (const row of changes) {
+                if (row.value === undefined) {
+                    remove(row.key);
+                }
+                else {
+                    put(row);
+                }
+            }
+        },
+        routes: () => table,
+        shiftOrders: () => ofKind("shift").map(({ order }) => order),
+        isEvacuated: dataCentre => ofKind("evacuation").some(order => order.dataCentre === dataCentre),
+        evacuated: () => ofKind("evacuation").map(order => order.dataCentre),
+    };
+}
--- /dev/null
+++ b/src/node/router/router.ts
@@ -0,0 +1,301 @@
+/** Composes a router node: what it knows, its decisions, its listeners and its stop. */
+import { createServer } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { systemClock } from "../common/clock.js";
+import { hashToUnit } from "../common/hash.js";
+import { createSystemRandom } from "../common/random.js";
+import { createCallerServer } from "../forwarding/caller-server.js";
+import { createExchanges } from "../forwarding/exchange.js";
+import { createLatencyReference } from "../forwarding/latency-reference.js";
+import { createRetryBudget } from "../forwarding/retry-budget.js";
+import { createLifecycle } from "../lifecycle/lifecycle.js";
+import type { Lifecycle } from "../lifecycle/lifecycle.js";
+import { createLineWriter, writeToDescriptor } from "../logging/line-writer.js";
+import { createLogging } from "../logging/logging.js";
+import { createRequestLog } from "../logging/request-log.js";
+import { createMetricsRegistry, serveMetrics } from "../metrics/registry.js";
+import { createHttpPeers } from "../peers/http-peers.js";
+import { createPeerSync } from "../replica/peer-sync.js";
+import { createRowReplica } from "../replica/row-replica.js";
+import { createStoreSync } from "../replica/store-sync.js";
+import { createRunnerTable } from "../runners/runner-table.js";
+import { createSessionVersions } from "../shifts/session-versions.js";
+import { createShiftCoordinator } from "../shifts/shift-coordinator.js";
+import { createHttpSend } from "../upstreams/send.js";
+import type { PlatformAdapter } from "./adapter.js";
+import { createNodeList } from "./node-list.js";
+import { createOperatorState } from "./operator-state.js";
+import { splitEndpoint } from "./settings.js";
+import type { ResolvedRouterConfig } from "./settings.js";
+
+export interface Router {
+    /** @throws PartError naming the part that failed. */
+    start(): Promise<void>;
+    /** Graceful stop: leaves the balancer, finishes running requests, then stops every part. */
+    stop(): Promise<void>;
+    /** Takes over a changed settings file. Only settings that need no restart may have changed. */
+    reload(config: ResolvedRouterConfig): void;
+}
+
+/** Share of the retry ratio that the node uses: windows of the nodes do not line up. */
+const RETRY_RATIO_MARGIN = 0.85;
+
+/** Share of the exposure that a canary uses: sessions differ in their number of requests. */
+const CANARY_MARGIN = 0.7;
+
+/** Shares of a shift's duration at which it goes on to all requests, and is completed. */
+const FULL_AT = 0.55;
+const COMPLETE_AT = 0.8;
+
+/** Time between looks at lapsed registrations, milliseconds. */
+const EXPIRY_INTERVAL_MILLISECONDS = 100;
+
+/** Time that is kept of the grace period to stop the parts and exit, milliseconds. */
+const EXIT_MARGIN_MILLISECONDS = 700;
+
+/** Time between looks at the open requests of a stopping node, milliseconds. */
+const DRAIN_POLL_MILLISECONDS = 50;
+
+/** Time for the log to be written at the end, milliseconds. */
+const LOG_FLUSH_MILLISECONDS = 200;
+
+const STDOUT_DESCRIPTOR = 1;
+
+function serveReadiness(listen: string, isReady: () => boolean, lifecycle: Lifecycle): void {
+    const { address, port } = splitEndpoint(listen);
+    const server = createServer((_request, response) => {
+        response.statusCode = isReady() ? 200 : 503;
+        response.end();
+    });
+    lifecycle.add({
+        name: "readiness listener",
+        start: async () => {
+            await new Promise<void>((resolve, reject) => {
+                server.once("error", reject);
+                server.listen(port, address, resolve);
+            });
+            return () => {
+                server.close();
+                server.closeAllConnections();
+            };
+        },
+    });
+}
+
+export function createRouter(initialConfig: ResolvedRouterConfig, adapter: PlatformAdapter): Router {
+    let config = initialConfig;
+    const clock = systemClock;
+    const random = createSystemRandom();
+    const lifecycle = createLifecycle();
+    const lines = createLineWriter(writeToDescriptor(STDOUT_DESCRIPTOR));
+    const createLogger = createLogging({
+        level: config.logging.level,
+        parts: [],
+        write: lines.write,
+        format: "json",
+    });
+    const log = createLogger("router");
+    const requestLog = createRequestLog({
+        write: lines.write,
+        clock,
+        linesPerSecond: config.logging.requestLinesPerSecond,
+        notableLinesPerSecond: config.logging.failureLinesPerSecond,
+    });
+    const metrics = createMetricsRegistry();
+    const replicas = {
+        configuration: createRowReplica(),
+        runners: createRowReplica(),
+        nodes: createRowReplica(),
+    };
+    let stopping = false;
+
+    const send = createHttpSend(lifecycle);
+    const peersEndpoint = splitEndpoint(config.peers.listen);
+    const peers = createHttpPeers({ ...peersEndpoint, key: "", lifecycle });
+
+    const sync = createStoreSync({
+        store: adapter.store,
+        replicas,
+        clock,
+        lifecycle,
+        logger: createLogger("store"),
+    });
+    const nodes = createNodeList({
+        self: {
+            id: config.node.id,
+            dataCentre: config.node.dataCentre,
+            peerAddress: `http://${config.peers.listen}`,
+        },
+        replica: replicas.nodes,
+        store: adapter.store,
+        lifecycle,
+        logger: createLogger("nodes"),
+    });
+    createPeerSync({
+        peers,
+        replicas,
+        addresses: () => {
+            const own = `http://${config.peers.listen}`;
+            const known = nodes.entries().map(entry => entry.peerAddress);
+            const seeds = config.peers.seeds.map(seed => `http://${seed}`);
+            return (known.length > 1 ? known : [...known, ...seeds]).filter(address => address !== own);
+        },
+        isNeeded: () => sync.isDisconnected(),
+        random,
+        lifecycle,
+        logger: createLogger("peers"),
+    });
+
+    const operators = createOperatorState({
+        decode: row => adapter.decodeOrder(row),
+        onConfiguration: table => {
+            const { idleTimeoutMilliseconds, headerTimeoutMilliseconds } = table.configuration.limits;
+            callers.applyLimits(idleTimeoutMilliseconds, headerTimeoutMilliseconds);
+        },
+        logger: createLogger("configuration"),
+    });
+    const runners = createRunnerTable({
+        decode: (key, value) => adapter.decodeRunner(key, value),
+        lapseGraceUntil: () => {
+            if (sync.isDisconnected()) {
+                return clock.now() + config.store.lapseGraceMilliseconds;
+            }
+            const since = sync.reconnectedAt();
+            return since === undefined ? undefined : since + config.store.lapseGraceMilliseconds;
+        },
+        logger: createLogger("upstreams"),
+    });
+    replicas.configuration.onChange(changes => operators.apply(changes));
+    replicas.runners.onChange(changes => runners.apply(changes, clock.now()));
+    lifecycle.add({
+        name: "upstream expiry",
+        start: () => {
+            const timer = setInterval(() => runners.expire(clock.now()), EXPIRY_INTERVAL_MILLISECONDS);
+            return () => clearInterval(timer);
+        },
+    });
+
+    const shifts = createShiftCoordinator({
+        node: config.node.id,
+        orders: () => operators.shiftOrders(),
+        replica: replicas.nodes,
+        store: adapter.store,
+        encodeReport: (order, stage) => adapter.encodeShiftReport(order, stage),
+        settings: {
+            canaryShare: config.shifts.exposureShare * CANARY_MARGIN,
+            fullAt: FULL_AT,
+            completeAt: COMPLETE_AT,
+        },
+        clock,
+        lifecycle,
+        logger: createLogger("shifts"),
+    });
+    const sessions = createSessionVersions(config.sessions.idleSeconds * 1000);
+
+    const serve = createExchanges({
+        clock,
+        random,
+        codec: adapter.codec,
+        send,
+        runnersOf: service => {
+            const rule = shifts.rule(service);
+            return runners
+                .usable(service)
+                .filter(
+                    ({ entry }) => !operators.isEvacuated(entry.dataCentre) && rule.isAllowed(entry.version),
+                );
+        },
+        versionsOf: (service, sessionKey) => {
+            const { prefersNew, newVersion } = shifts.rule(service);
+            if (prefersNew === undefined) {
+                return undefined;
+            }
+            const isNew = prefersNew(sessionKey, sessions.recent(sessionKey, clock.now()));
+            return version => (version === newVersion) === isNew;
+        },
+        recordSession: (sessionKey, runner) =>
+            sessions.record(sessionKey, runner.entry.version, clock.now()),
+        retryBudget: createRetryBudget({
+            ratio: config.retries.ratio * RETRY_RATIO_MARGIN,
+            windowMilliseconds: config.retries.windowSeconds * 1000,
+            extra: () => (config.retries.extra * RETRY_RATIO_MARGIN) / nodes.count(),
+        }),
+        latencies: createLatencyReference(),
+        modelChoice: { confidenceThreshold: config.models.confidenceThreshold },
+        coldAllowance: (service, runner) =>
+            service.coldRequestsPerSecond === 0
+                ? Infinity
+                : nodes.shareOf(runner.entry.id, service.coldRequestsPerSecond * config.cold.factor),
+        recordEvidence: (runner, stratum, succeeded, latency) =>
+            shifts.record(runner.entry.service, runner.entry.version, stratum, succeeded, latency),
+    });
+
+    const callersEndpoint = splitEndpoint(config.callers.listen);
+    const callers = createCallerServer({
+        ...callersEndpoint,
+        initialHeaderBytes: config.callers.maximumHeaderBytes,
+        codec: adapter.codec,
+        clock,
+        routes: () => operators.routes(),
+        serve,
+        requestLog,
+        lifecycle,
+        pointOf: head => hashToUnit(`split\u0000${head.promptParts.at(-1)?.id ?? head.attemptId ?? ""}`),
+        onEnd: (end, route, milliseconds) => {
+            const labels = { route: route ?? "", outcome: end.outcome };
+            metrics.count("requests_total", { ...labels, status: String(end.status) });
+            metrics.observe("request_milliseconds", milliseconds, { route: route ?? "" });
+            if (end.firstByteMilliseconds !== undefined) {
+                metrics.observe("first_byte_milliseconds", end.firstByteMilliseconds, { route: route ?? "" });
+            }
+        },
+    });
+
+    const isReady = (): boolean =>
+        !stopping && operators.routes() !== undefined && replicas.runners.revision > 0;
+    serveReadiness(config.readiness.listen, isReady, lifecycle);
+    serveMetrics(metrics, config.metrics.address, config.metrics.port, lifecycle);
+    metrics.gauge("open_requests", () => callers.openRequests());
+    metrics.gauge("configuration_version", () => operators.routes()?.configuration.version);
+    metrics.gauge("upstreams", () => runners.all().length);
+    metrics.gauge("nodes", () => nodes.entries().length);
+    metrics.gauge("store_disconnected", () => (sync.isDisconnected() ? 1 : 0));
+    metrics.gauge("log_lines_dropped", () => lines.dropped);
+    metrics.gauge("sessions", () => sessions.size);
+
+    const drain = async (startedAt: number): Promise<void> => {
+        const { graceMilliseconds, announceMilliseconds } = config.stop;
+        const elapsed = (): number => clock.now() - startedAt;
+        await delay(announceMilliseconds);
+        callers.closeIdle();
+        while (callers.openRequests() > 0 && elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS) {
+            await delay(DRAIN_POLL_MILLISECONDS);
+            callers.closeIdle();
+        }
+    };
+
+    return {
+        start: async () => {
+            await lifecycle.start();
+            log.info("The node has started.", { node: config.node.id, dataCentre: config.node.dataCentre });
+        },
+        stop: async () => {
+            const startedAt = clock.now();
+            stopping = true;
+            callers.announceClose();
+            log.info("The node is stopping.", { openRequests: callers.openRequests() });
+            await drain(startedAt);
+            const openRequests = callers.openRequests();
+            await Promise.race([lifecycle.stop(), delay(EXIT_MARGIN_MILLISECONDS / 2)]);
+            log.info("The node has stopped.", {
+                openRequests,
+                milliseconds: Math.round(clock.now() - startedAt),
+            });
+            await lines.flush(LOG_FLUSH_MILLISECONDS);
+        },
+        reload: changed => {
+            config = { ...config, peers: { ...config.peers, seeds: changed.peers.seeds } };
+            log.info("Took over the settings.", { seeds: changed.peers.seeds.length });
+        },
+    };
+}
--- /dev/null
+++ b/src/node/shifts/shift-coordinator.ts
@@ -0,0 +1,292 @@
+/**
+ * Advances the shifts of all services: records their state and this node's evidence in the store, and takes
+ * over what other nodes recorded. Any node may write; a condition on the row decides races.
+ */
+import type { Clock } from "../common/clock.js";
+import { hashToUnit } from "../common/hash.js";
+import type { Lifecycle } from "../lifecycle/lifecycle.js";
+import type { Logger } from "../logging/logging.js";
+import type { RowReplica } from "../replica/row-replica.js";
+import type { RowWrite, SharedStore } from "../replica/shared-store.js";
+import { laterState, nextStage, versionRule } from "./shift.js";
+import type { ShiftOrder, ShiftSettings, ShiftStage, ShiftState, VersionRule } from "./shift.js";
+import { assessEvidence, countEvidence, mergeEvidence } from "./shift-evidence.js";
+import type { EvidenceTable } from "./shift-evidence.js";
+
+export interface ShiftCoordinator {
+    rule(service: string): VersionRule;
+    /** Takes the outcome of an attempt as evidence. */
+    record(
+        service: string,
+        version: string,
+        stratum: string,
+        succeeded: boolean,
+        latencyMilliseconds: number | undefined,
+    ): void;
+    states(): ReadonlyMap<string, ShiftState>;
+}
+
+export interface ShiftCoordinatorOptions {
+    readonly node: string;
+    readonly orders: () => readonly ShiftOrder[];
+    readonly replica: RowReplica;
+    readonly store: SharedStore;
+    /** Encodes the report of a shift for the operators. */
+    readonly encodeReport: (order: ShiftOrder, stage: ShiftStage) => RowWrite;
+    readonly settings: ShiftSettings;
+    readonly clock: Clock;
+    readonly lifecycle: Lifecycle;
+    readonly logger: Logger;
+}
+
+/** Time between looks at the shifts, milliseconds. */
+const TICK_MILLISECONDS = 200;
+
+/** Time over which the nodes spread their first write for an order, milliseconds, so that one comes first. */
+const SPREAD_MILLISECONDS = 400;
+
+/** Time between two reports of evidence, milliseconds. A fraction of the time allowed to go back. */
+const EVIDENCE_INTERVAL_MILLISECONDS = 700;
+
+/** Time after a failed write, milliseconds. */
+const WRITE_RETRY_MILLISECONDS = 500;
+
+/** Share of the time to the full stage at which nodes without errors report their evidence. */
+const FINAL_EVIDENCE_SHARE = 0.85;
+
+interface LocalShift {
+    readonly order: ShiftOrder;
+    readonly seenAt: number;
+    evidence: EvidenceTable;
+    /** Errors and answers of the new version at the last report. */
+    reportedErrors: number;
+    hasReportedAnswers: boolean;
+    reportedAt: number;
+    nextWriteAt: number;
+    /** What this node decided or read, whichever is later. */
+    state: ShiftState | undefined;
+    writing: boolean;
+}
+
+interface EvidenceRow {
+    readonly orderRevision: number;
+    readonly evidence: EvidenceTable;
+}
+
+function stateKey(service: string): string {
+    return `shift/${service}`;
+}
+
+export function createShiftCoordinator(options: ShiftCoordinatorOptions): ShiftCoordinator {
+    const { replica, store, clock, logger, settings } = options;
+    const shifts = new Map<string, LocalShift>();
+
+    const readState = (order: ShiftOrder): ShiftState | undefined => {
+        const row = replica.get(stateKey(order.service));
+        const state = row === undefined ? undefined : (JSON.parse(row.value!) as ShiftState);
+        return state?.orderRevision === order.revision ? state : undefined;
+    };
+
+    const shiftOf = (order: ShiftOrder): LocalShift => {
+        const known = shifts.get(order.service);
+        if (known?.order.revision === order.revision) {
+            return known;
+        }
+        const now = clock.now();
+        const shift: LocalShift = {
+            order,
+            seenAt: now,
+            evidence: {},
+            reportedErrors: 0,
+            hasReportedAnswers: false,
+            reportedAt: 0,
+            nextWriteAt: now + hashToUnit(`${options.node}\u0000${order.revision}`) * SPREAD_MILLISECONDS,
+            state: undefined,
+            writing: false,
+        };
+        shifts.set(order.service, shift);
+        logger.info("Learned of a shift.", {
+            service: order.service,
+            version: order.version,
+            durationMilliseconds: order.durationMilliseconds,
+        });
+        return shift;
+    };
+
+    const adopt = (shift: LocalShift, state: ShiftState, source: string): void => {
+        const next = shift.state === undefined ? state : laterState(shift.state, state);
+        if (next.stage !== shift.state?.stage) {
+            logger.info("A shift changed its stage.", {
+                service: shift.order.service,
+                version: next.version,
+                stage: next.stage,
+                source,
+            });
+        }
+        shift.state = next;
+    };
+
+    const write = (shift: LocalShift, writes: readonly RowWrite[], stateRevision: number | undefined): void => {
+        shift.writing = true;
+        const conditions =
+            stateRevision === undefined
+                ? []
+                : [
+                      {
+                          table: "nodes" as const,
+                          key: stateKey(shift.order.service),
+                          revision: stateRevision,
+                      },
+                  ];
+        store
+            .transact({ conditions, writes })
+            .then(applied => {
+                if (!applied) {
+                    logger.info("Another node advanced the shift.", { service: shift.order.service });
+                }
+            })
+            .catch((error: unknown) =>
+                logger.warn("Could not write the shift; trying again.", {
+                    service: shift.order.service,
+                    error: (error as Error).message,
+                }),
+            )
+            .finally(() => {
+                shift.writing = false;
+                shift.nextWriteAt = clock.now() + WRITE_RETRY_MILLISECONDS;
+            });
+    };
+
+    const writeStage = (shift: LocalShift, state: ShiftState): void => {
+        const { order } = shift;
+        write(
+            shift,
+            [
+                { table: "nodes", key: stateKey(order.service), value: JSON.stringify(state) },
+                options.encodeReport(order, state.stage),
+            ],
+            replica.get(stateKey(order.service))?.revision ?? 0,
+        );
+    };
+
+    const ownEvidenceKey = (service: string): string => `evidence/${service}/${options.node}`;
+
+    const mergedEvidence = (shift: LocalShift): EvidenceTable => {
+        const { service, revision } = shift.order;
+        const others = replica
+            .list(`evidence/${service}/`)
+            .filter(row => row.key !== ownEvidenceKey(service))
+            .map(row => JSON.parse(row.value!) as EvidenceRow)
+            .filter(row => row.orderRevision === revision)
+            .map(row => row.evidence);
+        return mergeEvidence([shift.evidence, ...others]);
+    };
+
+    const reportEvidence = (shift: LocalShift, progress: number): boolean => {
+        const { answers, errors } = assessEvidence(shift.evidence);
+        const hasNewErrors = errors > shift.reportedErrors;
+        const isFinal =
+            !shift.hasReportedAnswers && answers > 0 && progress >= settings.fullAt * FINAL_EVIDENCE_SHARE;
+        const isDue = clock.now() - shift.reportedAt >= EVIDENCE_INTERVAL_MILLISECONDS;
+        if (!isDue || !(hasNewErrors || isFinal)) {
+            return false;
+        }
+        shift.reportedErrors = errors;
+        shift.hasReportedAnswers ||= isFinal;
+        shift.reportedAt = clock.now();
+        const row: EvidenceRow = { orderRevision: shift.order.revision, evidence: shift.evidence };
+        write(
+            shift,
+            [{ table: "nodes", key: ownEvidenceKey(shift.order.service), value: JSON.stringify(row) }],
+            undefined,
+        );
+        return true;
+    };
+
+    const advance = (shift: LocalShift): void => {
+        const { order } = shift;
+        const stored = readState(order);
+        if (stored !== undefined) {
+            adopt(shift, stored, "store");
+        }
+        const offset = store.clockOffset();
+        const now = clock.now();
+        if (offset === undefined || shift.writing || now < shift.nextWriteAt) {
+            return;
+        }
+        const storeTime = now + offset;
+        if (shift.state === undefined) {
+            writeStage(shift, {
+                orderRevision: order.revision,
+                version: order.version,
+                stage: "canary",
+                startedAt: storeTime,
+            });
+            return;
+        }
+        if (stored !== undefined && shift.state.stage !== stored.stage) {
+            writeStage(shift, shift.state);
+            return;
+        }
+        const progress = (storeTime - shift.state.startedAt) / order.durationMilliseconds;
+        const assessment = assessEvidence(mergedEvidence(shift));
+        const stage = nextStage(order, shift.state, assessment, storeTime, settings);
+        if (stage === "rolled-back") {
+            logger.warn("The new version is bad; going back.", {
+                service: order.service,
+                version: order.version,
+                answers: assessment.answers,
+                errors: assessment.errors,
+                errorLogRatio: Math.round(assessment.errorLogRatio * 10) / 10,
+                latencyLogRatio: Math.round(assessment.latencyLogRatio * 10) / 10,
+            });
+            // This node goes back at once, whether or not the store can be reached.
+            adopt(shift, { ...shift.state, stage }, "evidence");
+        }
+        if (stage !== undefined) {
+            writeStage(shift, { ...shift.state, stage });
+            return;
+        }
+        reportEvidence(shift, progress);
+    };
+
+    options.lifecycle.add({
+        name: "shifts",
+        start: () => {
+            const timer = setInterval(() => {
+                options.orders().forEach(order => advance(shiftOf(order)));
+            }, TICK_MILLISECONDS);
+            return () => clearInterval(timer);
+        },
+    });
+
+    return {
+        rule: service => {
+            const order = options.orders().find(candidate => candidate.service === service);
+            if (order === undefined) {
+                return versionRule(undefined, undefined, settings);
+            }
+            const stored = readState(order);
+            const local = shifts.get(service);
+            const localState = local?.order.revision === order.revision ? local.state : undefined;
+            const state =
+                stored !== undefined && localState !== undefined
+                    ? laterState(stored, localState)
+                    : (stored ?? localState);
+            return versionRule(order, state, settings);
+        },
+        record: (service, version, stratum, succeeded, latencyMilliseconds) => {
+            const shift = shifts.get(service);
+            const stage = shift?.state?.stage;
+            if (shift === undefined || (stage !== "canary" && stage !== "full")) {
+                return;
+            }
+            const isNew = version === shift.order.version;
+            shift.evidence = countEvidence(shift.evidence, stratum, isNew, succeeded, latencyMilliseconds);
+        },
+        states: () =>
+            new Map(
+                [...shifts].flatMap(([service, { state }]) => (state === undefined ? [] : [[service, state]])),
+            ),
+    };
+}
--- /dev/null
+++ b/src/node/shifts/shift-evidence.ts
@@ -0,0 +1,88 @@
+/** Counts answers of the new and the old version of a service and tests whether the new one is worse. */
+import { addCounters, countAnswer, NO_COUNTERS } from "../rollout/counters.js";
+import type { Counters } from "../rollout/counters.js";
+import { estimateDifference, logRatioOfErrors, logRatioOfLoss } from "../rollout/sequential-test.js";
+import type { Stratum } from "../rollout/sequential-test.js";
+
+/** Counters of one stratum: a route and a model. */
+export interface StratumCounters {
+    readonly version: Counters;
+    readonly reference: Counters;
+}
+
+export type EvidenceTable = Readonly<Record<string, StratumCounters>>;
+
+/** Error rates of the new version up to this multiple of the old one's are not a reason to go back. */
+const ERROR_SLACK_RATIO = 1.6;
+
+/** Slow-down, as a difference of logarithms, that is not a reason to go back. */
+const LATENCY_SLACK = Math.log(2);
+
+/** Slow-down for which the test is most sensitive, as a difference of logarithms. */
+const LATENCY_SCALE = Math.log(3);
+
+/** Logarithm of the likelihood ratio at which the version counts as bad: one wrong alarm in 1,000 shifts. */
+const ALARM_LOG_RATIO = Math.log(1000);
+
+/** Errors of the new version below which it is not called bad. */
+const LEAST_ERRORS = 3;
+
+const NO_STRATUM: StratumCounters = { version: NO_COUNTERS, reference: NO_COUNTERS };
+
+export function countEvidence(
+    table: EvidenceTable,
+    stratum: string,
+    isNew: boolean,
+    succeeded: boolean,
+    latencyMilliseconds: number | undefined,
+): EvidenceTable {
+    const counters = table[stratum] ?? NO_STRATUM;
+    const side = isNew ? "version" : "reference";
+    return {
+        ...table,
+        [stratum]: { ...counters, [side]: countAnswer(counters[side], succeeded, latencyMilliseconds) },
+    };
+}
+
+/** Adds the evidence of several nodes. */
+export function mergeEvidence(tables: readonly EvidenceTable[]): EvidenceTable {
+    const merged: Record<string, StratumCounters> = {};
+    for (const table of tables) {
+        for (const [stratum, counters] of Object.entries(table)) {
+            const known = merged[stratum] ?? NO_STRATUM;
+            merged[stratum] = {
+                version: addCounters(known.version, counters.version),
+                reference: addCounters(known.reference, counters.reference),
+            };
+        }
+    }
+    return merged;
+}
+
+export interface EvidenceAssessment {
+    readonly isBad: boolean;
+    readonly answers: number;
+    readonly errors: number;
+    /** Logarithms of the likelihood ratios of the two tests. */
+    readonly errorLogRatio: number;
+    readonly latencyLogRatio: number;
+}
+
+export function assessEvidence(table: EvidenceTable): EvidenceAssessment {
+    const strata: readonly Stratum[] = Object.values(table);
+    const total = strata.reduce((sum, { version }) => addCounters(sum, version), NO_COUNTERS);
+    const errorLogRatio = logRatioOfErrors(strata, ERROR_SLACK_RATIO);
+    const latency = estimateDifference(strata, "logLatency");
+    const latencyLogRatio =
+        latency === undefined
+            ? 0
+            : logRatioOfLoss(latency.difference - LATENCY_SLACK, latency.variance, LATENCY_SCALE);
+    const isErroneous = total.errors >= LEAST_ERRORS && errorLogRatio >= ALARM_LOG_RATIO;
+    return {
+        isBad: isErroneous || latencyLogRatio >= ALARM_LOG_RATIO,
+        answers: total.answers,
+        errors: total.errors,
+        errorLogRatio,
+        latencyLogRatio,
+    };
+}
--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -10,15 +10,24 @@
     readonly address: string;
     readonly method: string;
     readonly path: string;
-    readonly headers: Readonly<Record<string, string>>;
+    readonly headers: Readonly<Record<string, string | string[]>>;
     readonly body: string | Uint8Array | undefined;
-    /** Milliseconds to wait for the head of the response. */
+    /**
+     * Uses a new connection, which is closed after the answer: no earlier exchange can have left bytes on it,
+     * and the upstream cannot be closing it because it was idle.
+     *
+     * @default false
+     */
+    readonly ownConnection?: boolean;
+    /** Milliseconds to wait for the head of the response; 0 to wait without limit. */
     readonly headTimeoutMilliseconds: number;
-    /** Milliseconds between chunks of the body. */
+    /** Milliseconds between chunks of the body; 0 to wait without limit. */
     readonly idleTimeoutMilliseconds: number;
 }
 
 export interface UpstreamHandlers {
+    /** A connection is there and the request is being written to it. */
+    readonly onStart?: () => void;
     readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
     readonly onChunk: (chunk: Buffer) => void;
     /** The response ended, with as many bytes as its head announced. */
@@ -50,13 +59,25 @@
  */
 const KEEP_ALIVE_MILLISECONDS = 2000;
 
+/** Milliseconds by which a connection is given up before the time that the upstream announces for idle ones. */
+const KEEP_ALIVE_MARGIN_MILLISECONDS = 700;
+
 export function createHttpSend(lifecycle: Lifecycle): UpstreamSend {
-    const agent = new Agent({
+    const kept = new Agent({
         pipelining: 1,
         connectTimeout: CONNECT_TIMEOUT_MILLISECONDS,
         keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+        keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
+    });
+    // Without pipelining undici closes each connection after its first answer.
+    const unshared = new Agent({ pipelining: 0, connectTimeout: CONNECT_TIMEOUT_MILLISECONDS });
+    lifecycle.add({
+        name: "upstream connections",
+        start: () => async () => {
+            await kept.destroy();
+            await unshared.destroy();
+        },
     });
-    lifecycle.add({ name: "upstream connections", start: () => () => agent.destroy() });
 
     return (request, handlers) => {
         let controller: Dispatcher.DispatchController | undefined;
@@ -65,6 +86,7 @@
         const fail = (error: Error): void => {
             handlers.onFailure(handedOver ? "may-have-run" : "not-run", error.message);
         };
+        const agent = request.ownConnection === true ? unshared : kept;
         agent.dispatch(
             {
                 origin: request.address,
@@ -84,6 +106,7 @@
                     }
                     // undici writes the request right after this call.
                     handedOver = true;
+                    handlers.onStart?.();
                 },
                 onResponseStart: (_controller, status, headers) => handlers.onHead(status, headers),
                 onResponseData: (_controller, chunk) => handlers.onChunk(chunk),
