--- a/src/node/forwarding/caller-server.ts
+++ b/src/node/forwarding/caller-server.ts
@@ -143,6 +143,7 @@
             configuration: version,
             remainingMilliseconds: head.remainingMilliseconds,
             promptTokens: head.promptTokens,
+            session: head.session,
         });
         if (service === undefined) {
             throw new RequestRefusal(HTTP_UNAVAILABLE, `service "${serviceName}" is not declared`, 1);
--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -102,9 +102,9 @@
     return shared === undefined ? undefined : `${model ?? ""}\u0000${shared.id}`;
 }
 
-/** Key by which requests of one session are told: the last part of their prompt. */
-function sessionKeyOf(head: RequestHead): string {
-    return head.promptParts.at(-1)?.id ?? head.attemptId ?? "";
+/** Key by which a request's version and service are drawn: its session, or itself when it has none. */
+export function sessionKeyOf(head: RequestHead): string {
+    return head.session ?? head.attemptId ?? "";
 }
 
 /** Sends an answer of the router itself, unless a part of another one is out. */
@@ -210,7 +210,7 @@
             const stratum = `${route.name}\u0000${usedModel ?? ""}`;
             let headMilliseconds: number | undefined;
             runner.active += 1;
-            if (head.promptParts.length > 0) {
+            if (head.session !== undefined) {
                 environment.recordSession(sessionKey, runner);
             }
             runner.recentSends.push(sentAt);
--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -19,8 +19,10 @@
     readonly key: string | undefined;
     readonly promptTokens: number;
     readonly maximumOutputTokens: number;
-    /** Parts of the prompt in order. The last one belongs to the request or its session. */
+    /** Parts of the prompt in order. The last one belongs to the request alone. */
     readonly promptParts: readonly PromptPart[];
+    /** Requests that belong together name the same session. */
+    readonly session: string | undefined;
     /** The router chooses the model. */
     readonly isModelOpen: boolean;
     /** Id of the last event that the caller has of a stream. */
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -5,7 +5,7 @@
 import { hashToUnit } from "../common/hash.js";
 import { createSystemRandom } from "../common/random.js";
 import { createCallerServer } from "../forwarding/caller-server.js";
-import { createExchanges } from "../forwarding/exchange.js";
+import { createExchanges, sessionKeyOf } from "../forwarding/exchange.js";
 import { createLatencyReference } from "../forwarding/latency-reference.js";
 import { createRetryBudget } from "../forwarding/retry-budget.js";
 import { createLifecycle } from "../lifecycle/lifecycle.js";
@@ -240,7 +240,7 @@
         serve,
         requestLog,
         lifecycle,
-        pointOf: head => hashToUnit(`split\u0000${head.promptParts.at(-1)?.id ?? head.attemptId ?? ""}`),
+        pointOf: head => hashToUnit(`split\u0000${sessionKeyOf(head)}`),
         onEnd: (end, route, milliseconds) => {
             const labels = { route: route ?? "", outcome: end.outcome };
             metrics.count("requests_total", { ...labels, status: String(end.status) });
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -84,7 +84,7 @@
         .strictObject({
             level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
             /** Lines a second for requests that went as usual. */
-            requestLinesPerSecond: z.coerce.number().int().nonnegative().default(40),
+            requestLinesPerSecond: z.coerce.number().int().nonnegative().default(400),
             /** Lines a second for requests that failed, besides the others. */
             failureLinesPerSecond: z.coerce.number().int().nonnegative().default(100),
         })
