--- a/src/node/forwarding/caller-server.ts
+++ b/src/node/forwarding/caller-server.ts
@@ -28,8 +28,11 @@
 export interface CallerServer {
     /** Requests that have not ended. */
     openRequests(): number;
-    /** Lets every following answer close its connection, and closes idle connections on `closeIdle`. */
+    /** Lets every following answer close its connection. */
     announceClose(): void;
+    /** Refuses requests that arrive from now on; they would be cut by the end of the process. */
+    refuseNew(): void;
+    /** Stops listening and closes idle connections. */
     closeIdle(): void;
     /** Takes over limits that the operators changed. */
     applyLimits(idleTimeoutMilliseconds: number, headerTimeoutMilliseconds: number): void;
@@ -44,6 +47,9 @@
 /** Time after which a caller should come back to a node that knows no configuration, seconds. */
 const UNCONFIGURED_RETRY_SECONDS = 0.5;
 
+/** Time after which a caller should go to another node when this one is stopping, seconds. */
+const STOPPING_RETRY_SECONDS = 0.1;
+
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
 const HTTP_TOO_LARGE = 413;
@@ -123,6 +129,7 @@
     const { codec, clock } = options;
     let open = 0;
     let closing = false;
+    let refusing = false;
 
     const handle = async (
         message: IncomingMessage,
@@ -131,6 +138,9 @@
         trace: RequestTrace,
         arrivedAt: number,
     ): Promise<ExchangeEnd & { readonly route?: string }> => {
+        if (refusing) {
+            throw new RequestRefusal(HTTP_UNAVAILABLE, "the node is stopping", STOPPING_RETRY_SECONDS);
+        }
         const table = options.routes();
         const { route, workspace } = findTarget(table, message, head);
         const { services, limits, version } = table!.configuration;
@@ -263,6 +273,9 @@
         announceClose: () => {
             closing = true;
         },
+        refuseNew: () => {
+            refusing = true;
+        },
         closeIdle: () => {
             server.close();
             server.closeIdleConnections();
--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { RequestTrace } from "../logging/request-log.js";
+import { isRepeatable } from "../routes/entities.js";
 import type { Route, Service, Workspace } from "../routes/entities.js";
 import { chooseRunner } from "../runners/runner-choice.js";
 import type { Choice } from "../runners/runner-choice.js";
@@ -80,8 +81,11 @@
 /** Time to the head of an answer after which an upstream counts as hung, relative to the target latency. */
 const HEAD_TIMEOUT_RATIO = 1.5;
 
-/** Pause of a stream after which it goes on elsewhere, relative to the longest one that is on time. */
-const GAP_TIMEOUT_RATIO = 0.8;
+/**
+ * Pause of a stream after which it goes on elsewhere, relative to the longest one that is on time. An engine
+ * under load pauses too, and a stream that moves is late already, so this only finds engines that hang.
+ */
+const GAP_TIMEOUT_RATIO = 2;
 
 /** Share of the target latency for which a request may wait for an upstream with room. */
 const WAIT_RATIO = 1 / 8;
@@ -190,7 +194,8 @@
                     confidence,
                     costs: service.modelCosts,
                     promptTokens: head.promptTokens,
-                    outputTokens: head.maximumOutputTokens,
+                    maximumOutputTokens: head.maximumOutputTokens,
+                    expectedOutputTokens: head.expectedOutputTokens ?? head.maximumOutputTokens,
                 },
                 environment.modelChoice,
             );
@@ -209,6 +214,7 @@
             const sentAt = clock.now();
             const stratum = `${route.name}\u0000${usedModel ?? ""}`;
             let headMilliseconds: number | undefined;
+            let headConfidence: number | undefined;
             runner.active += 1;
             if (head.session !== undefined) {
                 environment.recordSession(sessionKey, runner);
@@ -227,7 +233,9 @@
                 remainingMilliseconds: Math.round(deadline - sentAt),
                 resumeAfter: sink.lastEventId(),
             });
-            const mayMove = route.kind !== "once" && choice.candidates > 1;
+            // Silence never ends the last attempt: the request could not go elsewhere.
+            const mayMove =
+                isRepeatable(route) && choice.candidates > 1 && runs + 1 < route.maximumAttempts;
             const result = await runAttempt({
                 send: environment.send,
                 request: {
@@ -254,12 +262,13 @@
                 connectMilliseconds: CONNECT_MILLISECONDS,
                 headMilliseconds: mayMove ? route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO : undefined,
                 gapMilliseconds:
-                    mayMove && route.resumable && route.targetGapMilliseconds !== undefined
+                    mayMove && route.targetGapMilliseconds !== undefined
                         ? route.targetGapMilliseconds * GAP_TIMEOUT_RATIO
                         : undefined,
                 remainingMilliseconds: Math.max(0, deadline - sentAt),
                 callerLeft: request.callerLeft,
-                onHead: () => {
+                onHead: responseHead => {
+                    headConfidence = responseHead.confidence;
                     headMilliseconds = clock.now() - sentAt;
                 },
             });
@@ -270,7 +279,7 @@
                 model: usedModel,
                 result: result.kind,
                 reason: "reason" in result ? result.reason : undefined,
-                confidence: result.kind === "doubted" ? result.confidence : undefined,
+                confidence: headConfidence,
                 headMilliseconds: headMilliseconds === undefined ? undefined : Math.round(headMilliseconds),
                 milliseconds: Math.round(clock.now() - sentAt),
             });
--- a/src/node/forwarding/model-choice.ts
+++ b/src/node/forwarding/model-choice.ts
@@ -1,14 +1,20 @@
 /**
- * Chooses the model of a request where the operator lists several sizes: begins with the smallest and goes to
- * the largest when the small model doubts its own answer, before the caller has received any of it.
+ * Chooses the model of a request where the operator lists several sizes: begins with the smallest, and drops
+ * its answer for the largest before the caller has received any of it, where the better answer is worth more
+ * than the larger model costs.
  */
 
 export interface ModelChoiceSettings {
-    /** Confidence of an answer, 0 to 100, below which a larger model is asked. */
-    readonly confidenceThreshold: number;
+    /** Confidence, 0 to 100, at which an answer is as often good as bad. */
+    readonly evenConfidence: number;
+    /** Change of the confidence, in points, that changes the odds of a good answer by the factor e. */
+    readonly confidenceScale: number;
+    /** Worth of a good answer per 1,000 weighted tokens, in the unit of the model prices. */
+    readonly worthPerThousandTokens: number;
 }
 
 export interface Escalation {
+    /** Models that may answer, smallest first. */
     readonly models: readonly string[];
     readonly current: string;
     /** Confidence that came with the answer, 0 to 100; `undefined` when there is none. */
@@ -16,39 +22,38 @@
     /** Price of 1,000 generated tokens by model. */
     readonly costs: ReadonlyMap<string, number>;
     readonly promptTokens: number;
-    readonly outputTokens: number;
+    /** Most tokens that may be generated; the size of the request as its caller sees it. */
+    readonly maximumOutputTokens: number;
+    /** Tokens that will probably be generated. */
+    readonly expectedOutputTokens: number;
 }
 
 /** Tokens that are read cost this share of generated ones. */
 const PROMPT_COST_SHARE = 0.25;
 
-/** Value of an answer per token that it takes: a generated token counts as much as ten that are read. */
+/** Weight of a generated token in the worth of a request; a token of the prompt weighs 1. */
 const GENERATED_TOKEN_WEIGHT = 10;
 
-/** Value of a good answer for 1,000 weighted tokens, in the unit of the model prices. */
-const VALUE_PER_THOUSAND_TOKENS = 0.45;
-
 /** Returns the model to begin with. */
 export function firstModel(models: readonly string[]): string | undefined {
     return models[0];
 }
 
+/** Estimates from the confidence how probable it is that the answer is bad, 0 to 1. */
+export function probabilityOfBadAnswer(confidence: number, settings: ModelChoiceSettings): number {
+    return 1 / (1 + Math.exp((confidence - settings.evenConfidence) / settings.confidenceScale));
+}
+
 /** Returns the larger model to ask next, or `undefined` to deliver the answer at hand. */
 export function escalationModel(escalation: Escalation, settings: ModelChoiceSettings): string | undefined {
     const largest = escalation.models.at(-1);
-    const { confidence, current } = escalation;
+    const { confidence, current, promptTokens } = escalation;
     if (largest === undefined || current === largest || confidence === undefined) {
         return undefined;
     }
-    if (confidence >= settings.confidenceThreshold) {
-        return undefined;
-    }
-    const tokens = escalation.promptTokens * PROMPT_COST_SHARE + escalation.outputTokens;
-    const price = ((escalation.costs.get(largest) ?? 0) * tokens) / 1000;
-    const value =
-        (VALUE_PER_THOUSAND_TOKENS *
-            (escalation.promptTokens + GENERATED_TOKEN_WEIGHT * escalation.outputTokens)) /
-        1000;
-    const gain = value * (1 - confidence / 100);
-    return gain > price ? largest : undefined;
+    const pricedTokens = promptTokens * PROMPT_COST_SHARE + escalation.expectedOutputTokens;
+    const price = ((escalation.costs.get(largest) ?? 0) * pricedTokens) / 1000;
+    const size = promptTokens + GENERATED_TOKEN_WEIGHT * escalation.maximumOutputTokens;
+    const worth = (settings.worthPerThousandTokens * size) / 1000;
+    return probabilityOfBadAnswer(confidence, settings) * worth > price ? largest : undefined;
 }
--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -19,6 +19,8 @@
     readonly key: string | undefined;
     readonly promptTokens: number;
     readonly maximumOutputTokens: number;
+    /** Tokens that the caller expects to be generated. */
+    readonly expectedOutputTokens: number | undefined;
     /** Parts of the prompt in order. The last one belongs to the request alone. */
     readonly promptParts: readonly PromptPart[];
     /** Requests that belong together name the same session. */
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -53,6 +53,9 @@
 /** Time that is kept of the grace period to stop the parts and exit, milliseconds. */
 const EXIT_MARGIN_MILLISECONDS = 700;
 
+/** Time before the end of the grace period from which on new requests are refused, milliseconds. */
+const REFUSE_MARGIN_MILLISECONDS = 2000;
+
 /** Time between looks at the open requests of a stopping node, milliseconds. */
 const DRAIN_POLL_MILLISECONDS = 50;
 
@@ -221,7 +224,7 @@
             extra: () => (config.retries.extra * RETRY_RATIO_MARGIN) / nodes.count(),
         }),
         latencies: createLatencyReference(),
-        modelChoice: { confidenceThreshold: config.models.confidenceThreshold },
+        modelChoice: config.models,
         coldAllowance: (service, runner) =>
             service.coldRequestsPerSecond === 0
                 ? Infinity
@@ -267,11 +270,14 @@
         const { graceMilliseconds, announceMilliseconds } = config.stop;
         const elapsed = (): number => clock.now() - startedAt;
         await delay(announceMilliseconds);
-        callers.closeIdle();
+        // The balancer may still send requests when no other node takes any, so the listener stays open.
         while (callers.openRequests() > 0 && elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS) {
+            if (elapsed() > graceMilliseconds - REFUSE_MARGIN_MILLISECONDS) {
+                callers.refuseNew();
+            }
             await delay(DRAIN_POLL_MILLISECONDS);
-            callers.closeIdle();
         }
+        callers.closeIdle();
     };
 
     return {
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -1,29 +1,31 @@
 /** Settings of a router node: sections and keys of its INI file. */
 import { readFileSync } from "node:fs";
 import { parse } from "ini";
-import { z } from "zod";
+import * as z from "zod/mini";
 
-const port = z.coerce.number().int().min(1).max(65_535);
-const address = z.string().min(1);
-const milliseconds = z.coerce.number().nonnegative();
-const share = z.coerce.number().min(0).max(1);
-const list = z
-    .string()
-    .default("")
-    .transform(text => text.split(",").flatMap(part => (part.trim() === "" ? [] : [part.trim()])));
+const port = z.coerce.number().check(z.int(), z.minimum(1), z.maximum(65_535));
+const address = z.string().check(z.minLength(1));
+const amount = z.coerce.number().check(z.nonnegative());
+const positive = z.coerce.number().check(z.positive());
+const count = z.coerce.number().check(z.int(), z.nonnegative());
+const share = z.coerce.number().check(z.minimum(0), z.maximum(1));
+const list = z.pipe(
+    z._default(z.string(), ""),
+    z.transform(text => text.split(",").flatMap(part => (part.trim() === "" ? [] : [part.trim()]))),
+);
 
 /** `ip:port` */
-const endpoint = z.string().regex(/^[^:\s]+:\d+$/, { error: "must look like 10.0.0.1:8080" });
+const endpoint = z.string().check(z.regex(/^[^:\s]+:\d+$/, { error: "must look like 10.0.0.1:8080" }));
 
 const routerSchema = z.strictObject({
     node: z.strictObject({
-        id: z.string().min(1),
-        dataCentre: z.string().min(1),
+        id: z.string().check(z.minLength(1)),
+        dataCentre: z.string().check(z.minLength(1)),
     }),
     callers: z.strictObject({
         listen: endpoint,
         /** Largest size of all request headers, bytes. @default 16384 */
-        maximumHeaderBytes: z.coerce.number().int().min(1024).default(16_384),
+        maximumHeaderBytes: z._default(z.coerce.number().check(z.int(), z.minimum(1024)), 16_384),
     }),
     readiness: z.strictObject({ listen: endpoint }),
     peers: z.strictObject({
@@ -38,57 +40,68 @@
     store: z.strictObject({
         endpoint,
         /** Time that a removed registration may be missing after an outage of the store, milliseconds. */
-        lapseGraceMilliseconds: milliseconds.default(1800),
+        lapseGraceMilliseconds: z._default(amount, 1800),
     }),
-    stop: z
-        .strictObject({
+    stop: z.prefault(
+        z.strictObject({
             /** Time from SIGTERM until the process must have ended, milliseconds. */
-            graceMilliseconds: milliseconds.default(8000),
+            graceMilliseconds: z._default(amount, 8000),
             /** Time for which a stopping node goes on accepting connections, milliseconds. */
-            announceMilliseconds: milliseconds.default(2600),
-        })
-        .prefault({}),
-    retries: z
-        .strictObject({
+            announceMilliseconds: z._default(amount, 2600),
+        }),
+        {},
+    ),
+    retries: z.prefault(
+        z.strictObject({
             /** Further sends per request over all nodes. */
-            ratio: z.coerce.number().nonnegative().default(0.5),
-            windowSeconds: z.coerce.number().positive().default(10),
+            ratio: z._default(amount, 0.5),
+            windowSeconds: z._default(positive, 10),
             /** Further sends in a window that need no requests, over all nodes. */
-            extra: z.coerce.number().nonnegative().default(10),
-        })
-        .prefault({}),
-    cold: z
-        .strictObject({
+            extra: z._default(amount, 10),
+        }),
+        {},
+    ),
+    cold: z.prefault(
+        z.strictObject({
             /** Sends to a cold upstream relative to the rate that it bears, over all nodes. */
-            factor: z.coerce.number().positive().default(1.2),
-        })
-        .prefault({}),
-    sessions: z
-        .strictObject({
-            idleSeconds: z.coerce.number().positive().default(30),
-        })
-        .prefault({}),
-    shifts: z
-        .strictObject({
+            factor: z._default(positive, 1.2),
+        }),
+        {},
+    ),
+    sessions: z.prefault(
+        z.strictObject({
+            idleSeconds: z._default(positive, 30),
+        }),
+        {},
+    ),
+    shifts: z.prefault(
+        z.strictObject({
             /** Largest share of requests that may reach a version that turns out bad. */
-            exposureShare: share.default(0.1),
-        })
-        .prefault({}),
-    models: z
-        .strictObject({
-            /** Confidence, 0 to 100, below which a larger model is asked. */
-            confidenceThreshold: z.coerce.number().min(0).max(101).default(60),
-        })
-        .prefault({}),
-    logging: z
-        .strictObject({
-            level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
+            exposureShare: z._default(share, 0.1),
+        }),
+        {},
+    ),
+    models: z.prefault(
+        z.strictObject({
+            /** Confidence, 0 to 100, at which an answer is as often good as bad. */
+            evenConfidence: z._default(amount, 50),
+            /** Points of confidence that change the odds of a good answer by the factor e. */
+            confidenceScale: z._default(positive, 5),
+            /** Worth of a good answer per 1,000 weighted tokens, in the unit of the model prices. */
+            worthPerThousandTokens: z._default(positive, 0.2),
+        }),
+        {},
+    ),
+    logging: z.prefault(
+        z.strictObject({
+            level: z._default(z.enum(["debug", "info", "warn", "error", "silent"]), "info"),
             /** Lines a second for requests that went as usual. */
-            requestLinesPerSecond: z.coerce.number().int().nonnegative().default(400),
+            requestLinesPerSecond: z._default(count, 40),
             /** Lines a second for requests that failed, besides the others. */
-            failureLinesPerSecond: z.coerce.number().int().nonnegative().default(100),
-        })
-        .prefault({}),
+            failureLinesPerSecond: z._default(count, 100),
+        }),
+        {},
+    ),
 });
 
 type DeepReadonly<Value> = Value extends object
