A stopping node goes on accepting, and refuses what would not end in time

Change: the listener stays open until the process ends; streams that would not end before it are refused with 503.

--- a/src/node/forwarding/caller-server.ts
+++ b/src/node/forwarding/caller-server.ts
@@ -28,10 +28,12 @@
 export interface CallerServer {
     /** Requests that have not ended. */
     openRequests(): number;
-    /** Lets every following answer close its connection. */
-    announceClose(): void;
-    /** Refuses requests that arrive from now on; they would be cut by the end of the process. */
-    refuseNew(): void;
+    /**
+     * Lets every following answer close its connection, and refuses requests that may not end in time.
+     *
+     * @param endsAt Monotonic time at which the process ends.
+     */
+    announceClose(endsAt: number): void;
     /** Stops listening and closes idle connections. */
     closeIdle(): void;
     /** Takes over limits that the operators changed. */
@@ -50,6 +52,9 @@
 /** Time after which a caller should go to another node when this one is stopping, seconds. */
 const STOPPING_RETRY_SECONDS = 0.1;
 
+/** Time in which nearly all streams end, milliseconds. */
+const USUAL_STREAM_MILLISECONDS = 4700;
+
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
 const HTTP_TOO_LARGE = 413;
@@ -123,13 +128,18 @@
     return route.split.at(-1)?.service;
 }
 
+/** Returns whether a request that arrives now will usually end before the process does. */
+function fitsBeforeEnd(route: Route, remainingMilliseconds: number): boolean {
+    const usual = route.kind === "stream" ? USUAL_STREAM_MILLISECONDS : route.timeoutMilliseconds;
+    return Math.min(usual, route.timeoutMilliseconds) < remainingMilliseconds;
+}
+
 export function createCallerServer(
     options: CallerServerOptions & { readonly pointOf: (head: RequestHead) => number },
 ): CallerServer {
     const { codec, clock } = options;
     let open = 0;
-    let closing = false;
-    let refusing = false;
+    let endsAt: number | undefined;
 
     const handle = async (
         message: IncomingMessage,
@@ -138,11 +148,11 @@
         trace: RequestTrace,
         arrivedAt: number,
     ): Promise<ExchangeEnd & { readonly route?: string }> => {
-        if (refusing) {
-            throw new RequestRefusal(HTTP_UNAVAILABLE, "the node is stopping", STOPPING_RETRY_SECONDS);
-        }
         const table = options.routes();
         const { route, workspace } = findTarget(table, message, head);
+        if (endsAt !== undefined && !fitsBeforeEnd(route, endsAt - arrivedAt)) {
+            throw new RequestRefusal(HTTP_UNAVAILABLE, "the node is stopping", STOPPING_RETRY_SECONDS);
+        }
         const { services, limits, version } = table!.configuration;
         const serviceName = pickService(route, options.pointOf(head));
         const service = serviceName === undefined ? undefined : services.get(serviceName);
@@ -211,7 +221,7 @@
         const head = codec.decodeRequest(message.headers);
         const trace = options.requestLog.begin(head.attemptId ?? "(none)");
         open += 1;
-        if (closing) {
+        if (endsAt !== undefined) {
             response.setHeader("connection", "close");
         }
         handle(message, response, head, trace, arrivedAt)
@@ -270,11 +280,8 @@
 
     return {
         openRequests: () => open,
-        announceClose: () => {
-            closing = true;
-        },
-        refuseNew: () => {
-            refusing = true;
+        announceClose: time => {
+            endsAt = time;
         },
         closeIdle: () => {
             server.close();
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -51,10 +51,7 @@
 const EXPIRY_INTERVAL_MILLISECONDS = 100;
 
 /** Time that is kept of the grace period to stop the parts and exit, milliseconds. */
-const EXIT_MARGIN_MILLISECONDS = 700;
-
-/** Time before the end of the grace period from which on new requests are refused, milliseconds. */
-const REFUSE_MARGIN_MILLISECONDS = 2000;
+const EXIT_MARGIN_MILLISECONDS = 500;
 
 /** Time between looks at the open requests of a stopping node, milliseconds. */
 const DRAIN_POLL_MILLISECONDS = 50;
@@ -272,9 +269,6 @@
         await delay(announceMilliseconds);
         // The balancer may still send requests when no other node takes any, so the listener stays open.
         while (callers.openRequests() > 0 && elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS) {
-            if (elapsed() > graceMilliseconds - REFUSE_MARGIN_MILLISECONDS) {
-                callers.refuseNew();
-            }
             await delay(DRAIN_POLL_MILLISECONDS);
         }
         callers.closeIdle();
@@ -288,7 +282,7 @@
         stop: async () => {
             const startedAt = clock.now();
             stopping = true;
-            callers.announceClose();
+            callers.announceClose(startedAt + config.stop.graceMilliseconds - EXIT_MARGIN_MILLISECONDS);
             log.info("The node is stopping.", { openRequests: callers.openRequests() });
             await drain(startedAt);
             const openRequests = callers.openRequests();
