Place requests by the expected delay over all nodes' work

Ruled out: polling engine reports (stale, priced). Change: nodes tell each other by datagrams what they have sent and what is not yet read; a request goes where the least delay is expected.

--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -5,6 +5,7 @@
 import type { RequestTrace } from "../logging/request-log.js";
 import { isRepeatable } from "../routes/entities.js";
 import type { Route, Service, Workspace } from "../routes/entities.js";
+import type { LoadBoard } from "../runners/load-board.js";
 import { chooseRunner } from "../runners/runner-choice.js";
 import type { Choice } from "../runners/runner-choice.js";
 import type { Runner } from "../runners/runner-table.js";
@@ -62,6 +63,7 @@
     /** Remembers on which version a session runs. */
     readonly recordSession: (sessionKey: string, runner: Runner) => void;
     readonly retryBudget: RetryBudget;
+    readonly loads: LoadBoard;
     readonly latencies: LatencyReference;
     readonly modelChoice: ModelChoiceSettings;
     /** Requests a second that this node may send to one cold upstream of a service. */
@@ -106,6 +108,22 @@
     return shared === undefined ? undefined : `${model ?? ""}\u0000${shared.id}`;
 }
 
+/** Tokens of the prompt that other requests share. */
+function sharedTokens(head: RequestHead): number {
+    return head.promptParts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+}
+
+function expectedOutputTokens(head: RequestHead): number {
+    return head.expectedOutputTokens ?? head.maximumOutputTokens;
+}
+
+/** Work of a model relative to the most expensive one of the service, as far as the prices tell. */
+function relativeCost(service: Service, model: string | undefined): number {
+    const cost = model === undefined ? undefined : service.modelCosts.get(model);
+    const highest = Math.max(...service.modelCosts.values());
+    return cost === undefined || highest <= 0 ? 1 : cost / highest;
+}
+
 /** Key by which a request's version and service are drawn: its session, or itself when it has none. */
 export function sessionKeyOf(head: RequestHead): string {
     return head.session ?? head.attemptId ?? "";
@@ -167,6 +185,10 @@
             chooseRunner(environment.runnersOf(service.name), {
                 now: clock.now(),
                 affinityKey: affinityKeyOf(head, model),
+                sharedTokens: sharedTokens(head) * relativeCost(service, model),
+                neededTokens: head.promptTokens + expectedOutputTokens(head),
+                capacityTokens: service.engineTokens,
+                loadOf: runner => environment.loads.total(runner.entry.id, clock.now()),
                 prefersVersion: environment.versionsOf(service.name, sessionKey),
                 excluded,
                 coldAllowance: runner => environment.coldAllowance(service, runner),
@@ -195,7 +217,7 @@
                     costs: service.modelCosts,
                     promptTokens: head.promptTokens,
                     maximumOutputTokens: head.maximumOutputTokens,
-                    expectedOutputTokens: head.expectedOutputTokens ?? head.maximumOutputTokens,
+                    expectedOutputTokens: expectedOutputTokens(head),
                 },
                 environment.modelChoice,
             );
@@ -215,7 +237,11 @@
             const stratum = `${route.name}\u0000${usedModel ?? ""}`;
             let headMilliseconds: number | undefined;
             let headConfidence: number | undefined;
-            runner.active += 1;
+            const load = environment.loads.begin(
+                runner.entry.id,
+                head.promptTokens * relativeCost(service, usedModel),
+                head.promptTokens + expectedOutputTokens(head),
+            );
             if (head.session !== undefined) {
                 environment.recordSession(sessionKey, runner);
             }
@@ -268,11 +294,12 @@
                 remainingMilliseconds: Math.max(0, deadline - sentAt),
                 callerLeft: request.callerLeft,
                 onHead: responseHead => {
+                    load.promptRead();
                     headConfidence = responseHead.confidence;
                     headMilliseconds = clock.now() - sentAt;
                 },
             });
-            runner.active -= 1;
+            load.end();
             recordResult(result, runner, stratum, headMilliseconds);
             trace.add("attempts", "An attempt ended.", {
                 upstream: runner.entry.id,
--- a/src/node/router/node-list.ts
+++ b/src/node/router/node-list.ts
@@ -10,6 +10,8 @@
     readonly dataCentre: string;
     /** Base URL of the listener for peers. */
     readonly peerAddress: string;
+    /** IP address for load reports. */
+    readonly address: string;
 }
 
 export interface NodeList {
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -18,6 +18,8 @@
 import { createPeerSync } from "../replica/peer-sync.js";
 import { createRowReplica } from "../replica/row-replica.js";
 import { createStoreSync } from "../replica/store-sync.js";
+import { createLoadBoard } from "../runners/load-board.js";
+import { createLoadReports } from "../runners/load-reports.js";
 import { createRunnerTable } from "../runners/runner-table.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
 import { createShiftCoordinator } from "../shifts/shift-coordinator.js";
@@ -125,6 +127,7 @@
             id: config.node.id,
             dataCentre: config.node.dataCentre,
             peerAddress: `http://${config.peers.listen}`,
+            address: splitEndpoint(config.loads.listen).address,
         },
         replica: replicas.nodes,
         store: adapter.store,
@@ -192,7 +195,23 @@
     });
     const sessions = createSessionVersions(config.sessions.idleSeconds * 1000);
 
+    const loads = createLoadBoard();
+    createLoadReports({
+        node: config.node.id,
+        ...splitEndpoint(config.loads.listen),
+        board: loads,
+        peers: () =>
+            nodes
+                .entries()
+                .filter(entry => entry.id !== config.node.id)
+                .map(entry => entry.address),
+        clock,
+        lifecycle,
+        logger: createLogger("loads"),
+    });
+
     const serve = createExchanges({
+        loads,
         clock,
         random,
         codec: adapter.codec,
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -33,6 +33,10 @@
         /** Peers to ask while the store is out of reach and no other is known. */
         seeds: list,
     }),
+    loads: z.strictObject({
+        /** Address for datagrams with load reports; the port is the same on all nodes. */
+        listen: endpoint,
+    }),
     metrics: z.strictObject({
         address,
         port,
--- a/src/node/routes/entities.ts
+++ b/src/node/routes/entities.ts
@@ -49,6 +49,8 @@
     readonly coldMilliseconds: number;
     /** Requests that one model engine runs at once; `undefined` for plain services. */
     readonly engineSlots: number | undefined;
+    /** Memory of one model engine, in tokens; `undefined` for plain services. */
+    readonly engineTokens: number | undefined;
     /** Price of 1,000 generated tokens by model. */
     readonly modelCosts: ReadonlyMap<string, number>;
 }
--- a/src/node/runners/runner-choice.ts
+++ b/src/node/runners/runner-choice.ts
@@ -1,10 +1,12 @@
 /**
  * Chooses the upstream of an attempt. Pure: decides by what the node knows, without I/O.
  *
- * Serves the load of a service whose upstreams hold cached prompts: requests that share a prompt prefix go to
- * the same upstream unless it is busier than the others, fails, is slow or is cold.
+ * Serves the load of a service whose upstreams hold cached prompts, with a few prompts so long that they hold up
+ * everything beside them: a request goes where the least delay is expected, counting what all nodes have sent,
+ * what is left to read without the cached prefix, failures and memory.
  */
 import { hashToUnit } from "../common/hash.js";
+import type { Load } from "./load-board.js";
 import type { Random } from "../common/random.js";
 import { COLD_WINDOW_MILLISECONDS } from "./runner-table.js";
 import type { Runner } from "./runner-table.js";
@@ -13,6 +15,13 @@
     readonly now: number;
     /** Key of the prompt prefix that requests share; `undefined` where none is worth following. */
     readonly affinityKey: string | undefined;
+    /** Prompt tokens that an upstream without the shared prefix has to read, in tokens of the largest model. */
+    readonly sharedTokens: number;
+    /** Memory that the request takes, in tokens. */
+    readonly neededTokens: number;
+    /** Memory of one upstream, in tokens; `undefined` when it has no such limit. */
+    readonly capacityTokens: number | undefined;
+    readonly loadOf: (runner: Runner) => Load;
     /** Whether the request should run on a version, if possible; `undefined` when all are alike. */
     readonly prefersVersion: ((version: string) => boolean) | undefined;
     /** Upstreams that this request already used. */
@@ -24,23 +33,35 @@
 
 export interface Choice {
     readonly runner: Runner;
-    /** Cost of the chosen upstream and of the one it won against, for the log. */
+    /** Expected delay at the chosen upstream, milliseconds. */
     readonly score: number;
     readonly runnerUp: string | undefined;
     readonly candidates: number;
 }
 
-/** Points of the cost that an upstream without the shared prompt in its cache gets; one point is one active request. */
-const CACHE_MISS_POINTS = 4;
+/** Prompt tokens of the largest model that an upstream reads in a millisecond. */
+const TOKENS_PER_MILLISECOND = 45;
 
-/** Points of the cost that a share of failures of 1 gives. */
-const FAILURE_POINTS = 30;
+/** Delay that one running request causes for another, milliseconds. */
+const REQUEST_MILLISECONDS = 6;
 
-/** Points of the cost of an upstream that is being ejected or rejected a request just now. */
-const AVOIDED_POINTS = 1000;
+/** Delay that stands for a share of failures of 1, milliseconds. */
+const FAILURE_MILLISECONDS = 3000;
 
-/** Points of the cost of an upstream that is still cold. */
-const COLD_POINTS = 3;
+/** Delay that stands for an upstream that is ejected, or rejected a request just now, milliseconds. */
+const AVOIDED_MILLISECONDS = 20_000;
+
+/** Delay that stands for an upstream that is still cold, milliseconds. */
+const COLD_MILLISECONDS = 150;
+
+/** Delay that stands for an upstream whose memory the request would overfill, milliseconds. */
+const FULL_MILLISECONDS = 2000;
+
+/** Random part of the delay, milliseconds, so that nodes with the same view do not choose alike. */
+const RANDOM_MILLISECONDS = 6;
+
+/** Share of an upstream's memory that requests may fill; the rest holds shared prompts. */
+const USABLE_MEMORY_SHARE = 0.85;
 
 /** Returns whether a cold upstream may get one more request from this node. */
 export function hasColdAllowance(runner: Runner, now: number, requestsPerSecond: number): boolean {
@@ -48,15 +69,21 @@
     return runner.recentSends.filter(time => time > since).length < requestsPerSecond;
 }
 
-function scoreOf(runner: Runner, context: ChoiceContext, isPreferred: boolean): number {
-    const load = runner.active * Math.max(1, runner.health.slowness());
+/** Returns the delay that the request can expect at an upstream, milliseconds. */
+function expectedDelay(runner: Runner, context: ChoiceContext, isPreferred: boolean): number {
+    const load = context.loadOf(runner);
+    const unreadTokens = load.pendingTokens + (isPreferred ? 0 : context.sharedTokens);
+    const isFull =
+        context.capacityTokens !== undefined &&
+        load.heldTokens + context.neededTokens > USABLE_MEMORY_SHARE * context.capacityTokens;
+    const work = unreadTokens / TOKENS_PER_MILLISECOND + load.requests * REQUEST_MILLISECONDS;
     return (
-        load +
-        (isPreferred ? 0 : CACHE_MISS_POINTS) +
-        FAILURE_POINTS * runner.health.failureShare() +
-        (runner.health.isAvoided(context.now) ? AVOIDED_POINTS : 0) +
-        (runner.coldUntil > context.now ? COLD_POINTS : 0) +
-        context.random() * 0.5
+        work * Math.max(1, runner.health.slowness()) +
+        FAILURE_MILLISECONDS * runner.health.failureShare() +
+        (runner.health.isAvoided(context.now) ? AVOIDED_MILLISECONDS : 0) +
+        (runner.coldUntil > context.now ? COLD_MILLISECONDS : 0) +
+        (isFull ? FULL_MILLISECONDS : 0) +
+        context.random() * RANDOM_MILLISECONDS
     );
 }
 
@@ -95,7 +122,7 @@
     let bestScore = Infinity;
     let runnerUp: Runner | undefined;
     for (const runner of candidates) {
-        const score = scoreOf(runner, context, preferred === undefined || runner.entry.id === preferred);
+        const score = expectedDelay(runner, context, runner.entry.id === preferred);
         if (score < bestScore) {
             runnerUp = best;
             best = runner;
--- a/src/node/runners/runner-table.ts
+++ b/src/node/runners/runner-table.ts
@@ -27,8 +27,6 @@
     /** Monotonic time until which the upstream is cold. */
     readonly coldUntil: number;
     readonly health: RunnerHealth;
-    /** Requests of this node that the upstream has not answered yet. */
-    active: number;
     /** Monotonic times of the last sends, for the limit of cold upstreams. */
     readonly recentSends: number[];
 }
@@ -81,7 +79,6 @@
             entry,
             coldUntil: now + entry.coldMilliseconds,
             health: isSame ? known.health : createRunnerHealth(),
-            active: isSame ? known.active : 0,
             recentSends: isSame ? known.recentSends : [],
         });
         if (!isSame || known.entry.leaving !== entry.leaving || entry.coldMilliseconds > 0) {
