--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**"] },
+    { ignores: ["dist/**", "node_modules/**", "target/**", "journal/**"] },
     eslint.configs.recommended,
     ...tseslint.configs.strict,
     {
@@ -45,4 +45,10 @@
         ...tseslint.configs.disableTypeChecked,
         languageOptions: { globals: { process: "readonly", console: "readonly", URL: "readonly" } },
     },
+    {
+        files: ["**/*.cjs"],
+        ...tseslint.configs.disableTypeChecked,
+        languageOptions: { globals: { require: "readonly", exports: "writable", URL: "readonly" } },
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
 );
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -26,5 +26,7 @@
     legalComments: "none",
     plugins: [slim],
     // Bundled CommonJS libraries call require for the runtime's own modules.
-    banner: { js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);' },
+    banner: {
+        js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);',
+    },
 });
--- a/src/node/common/headers.ts
+++ b/src/node/common/headers.ts
@@ -16,9 +16,7 @@
 ]);
 
 /** Returns the headers that may be forwarded, without those that the Connection header names. */
-export function withoutConnectionHeaders(
-    headers: IncomingHttpHeaders,
-): Record<string, string | string[]> {
+export function withoutConnectionHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
     const named = new Set((headers.connection ?? "").split(",").map(name => name.trim().toLowerCase()));
     const kept: Record<string, string | string[]> = {};
     for (const [name, value] of Object.entries(headers)) {
--- a/src/node/forwarding/answer-sink.ts
+++ b/src/node/forwarding/answer-sink.ts
@@ -41,6 +41,10 @@
     readonly onFirstByte: () => void;
 }
 
+function definedHeaders(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
+    return Object.fromEntries(Object.entries(headers).filter(([, value]) => value !== undefined));
+}
+
 export function createAnswerSink(options: AnswerSinkOptions): AnswerSink {
     const { response } = options;
     const cutter: EventCutter = createEventCutter(options.lastEventId);
@@ -56,7 +60,7 @@
     const begin = (status: number, headers: OutgoingHttpHeaders): void => {
         begun = true;
         options.onFirstByte();
-        response.writeHead(status, headers);
+        response.writeHead(status, definedHeaders(headers));
     };
 
     const beginStreamIfNeeded = (): void => {
@@ -71,8 +75,11 @@
         beginStream: (status, headers) => {
             cutter.discardPending();
             if (!begun) {
-                const { "content-length": _length, ...rest } = options.encodeHeaders(headers);
-                streamHead = { status, headers: rest };
+                // A resumed stream may have another length than its first upstream announced.
+                streamHead = {
+                    status,
+                    headers: { ...options.encodeHeaders(headers), "content-length": undefined },
+                };
             }
         },
         beginPlain: (status, headers) => begin(status, options.encodeHeaders(headers)),
--- a/src/node/forwarding/attempt-policy.ts
+++ b/src/node/forwarding/attempt-policy.ts
@@ -74,7 +74,9 @@
             return mayGoOn ? { kind: "again", reason: result.reason } : giveUp(progress, result.reason);
         }
         case "failed":
-            return canRunAgain(progress) ? { kind: "again", reason: result.reason } : { kind: "pass-failure" };
+            return canRunAgain(progress)
+                ? { kind: "again", reason: result.reason }
+                : { kind: "pass-failure" };
         case "lost":
             return canRunAgain(progress)
                 ? { kind: "again", reason: result.reason }
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -67,7 +67,11 @@
 }
 
 /** Returns why an answer cannot be the one to this request, or `undefined`. */
-function foreignReason(status: number, head: ResponseHead, attemptId: string | undefined): string | undefined {
+function foreignReason(
+    status: number,
+    head: ResponseHead,
+    attemptId: string | undefined,
+): string | undefined {
     if (head.attemptId !== undefined && head.attemptId !== attemptId) {
         return "the answer belongs to another request";
     }
@@ -87,7 +91,7 @@
     return new Promise(resolve => {
         const { sink } = options;
         let settled = false;
-        let exchange: UpstreamExchange | undefined;
+        let exchange: UpstreamExchange | undefined = undefined;
         let started = false;
         let status = 0;
         let headers: IncomingHttpHeaders = {};
--- a/src/node/forwarding/caller-server.ts
+++ b/src/node/forwarding/caller-server.ts
@@ -80,7 +80,11 @@
 /** @throws RequestRefusal */
 function findTarget(table: RouteTable | undefined, message: IncomingMessage, head: RequestHead): Target {
     if (table === undefined) {
-        throw new RequestRefusal(HTTP_UNAVAILABLE, "no configuration is known yet", UNCONFIGURED_RETRY_SECONDS);
+        throw new RequestRefusal(
+            HTTP_UNAVAILABLE,
+            "no configuration is known yet",
+            UNCONFIGURED_RETRY_SECONDS,
+        );
     }
     const path = (message.url ?? "").split("?", 1)[0]!;
     const host = (message.headers.host ?? "").replace(/:\d+$/, "");
--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -56,10 +56,7 @@
     /** Upstreams that may get requests of the service now. */
     readonly runnersOf: (service: string) => readonly Runner[];
     /** Versions that a request of the service should run on, by its session; `undefined` for all. */
-    readonly versionsOf: (
-        service: string,
-        sessionKey: string,
-    ) => ((version: string) => boolean) | undefined;
+    readonly versionsOf: (service: string, sessionKey: string) => ((version: string) => boolean) | undefined;
     /** Remembers on which version a session runs. */
     readonly recordSession: (sessionKey: string, runner: Runner) => void;
     readonly retryBudget: RetryBudget;
@@ -223,7 +220,11 @@
             );
             const hasBudget =
                 environment.retryBudget.remainingShare(service.name, clock.now()) > ESCALATION_RESERVE;
-            if (larger === undefined || !hasBudget || !environment.retryBudget.take(service.name, clock.now())) {
+            if (
+                larger === undefined ||
+                !hasBudget ||
+                !environment.retryBudget.take(service.name, clock.now())
+            ) {
                 return false;
             }
             model = larger;
@@ -260,8 +261,7 @@
                 resumeAfter: sink.lastEventId(),
             });
             // Silence never ends the last attempt: the request could not go elsewhere.
-            const mayMove =
-                isRepeatable(route) && choice.candidates > 1 && runs + 1 < route.maximumAttempts;
+            const mayMove = isRepeatable(route) && choice.candidates > 1 && runs + 1 < route.maximumAttempts;
             const result = await runAttempt({
                 send: environment.send,
                 request: {
--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -63,10 +63,7 @@
 export interface HeaderCodec {
     decodeRequest(headers: IncomingHttpHeaders): RequestHead;
     /** Returns the headers for the upstream: the caller's without those that the router sets or consumes. */
-    encodeRequest(
-        headers: IncomingHttpHeaders,
-        fields: ForwardedFields,
-    ): Record<string, string | string[]>;
+    encodeRequest(headers: IncomingHttpHeaders, fields: ForwardedFields): Record<string, string | string[]>;
     decodeResponse(status: number, headers: IncomingHttpHeaders): ResponseHead;
     /** Returns the headers for the caller: the upstream's without those of its connection. */
     encodeResponse(headers: IncomingHttpHeaders): OutgoingHttpHeaders;
--- /dev/null
+++ b/src/node/logging/__tests__/request-log.spec.ts
@@ -0,0 +1,82 @@
+/** Guards against logs that grow without bound, block the process or tell half of a request. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createLineWriter } from "../line-writer.js";
+import { createRequestLog } from "../request-log.js";
+
+function createLog(linesPerSecond: number, notableLinesPerSecond: number) {
+    const lines: string[] = [];
+    let now = 0;
+    const log = createRequestLog({
+        write: line => lines.push(line),
+        clock: { now: () => now, wallTime: () => now },
+        linesPerSecond,
+        notableLinesPerSecond,
+    });
+    const play = (id: string, isNotable: boolean): void => {
+        const trace = log.begin(id);
+        trace.add("requests", "A request arrived.");
+        trace.add("requests", "A request ended.");
+        trace.end(isNotable);
+    };
+    const advance = (milliseconds: number): void => {
+        now += milliseconds;
+    };
+    return { lines, play, advance };
+}
+
+test("a request is logged whole or not at all", () => {
+    const { lines, play } = createLog(3, 0);
+    play("a", false);
+    play("b", false);
+    assert.equal(lines.length, 2);
+    assert.ok(lines.every(line => line.includes('"request":"a"')));
+});
+
+test("failed requests have a budget of their own", () => {
+    const { lines, play } = createLog(0, 2);
+    play("a", false);
+    play("b", true);
+    assert.ok(lines.length === 2 && lines.every(line => line.includes('"request":"b"')));
+});
+
+test("what was left out is counted in the next second", () => {
+    const { lines, play, advance } = createLog(2, 2);
+    ["a", "b", "c"].forEach(id => play(id, false));
+    advance(1000);
+    play("d", false);
+    assert.equal(lines.length, 5);
+    assert.match(lines[2]!, /"requests":2/);
+});
+
+test("a reader that stalls loses lines and holds no memory", async () => {
+    const written: string[] = [];
+    let resume: (() => void) | undefined;
+    const writer = createLineWriter((text, done) => {
+        written.push(text);
+        resume = () => done();
+    });
+    const line = "x".repeat(1000);
+    writer.write(line);
+    await new Promise(resolve => setImmediate(resolve));
+    for (let index = 0; index < 1000; index++) {
+        writer.write(line);
+    }
+    assert.ok(writer.dropped > 800);
+    resume!();
+    assert.ok(written[1]!.length < 140_000);
+    assert.match(written[1]!, /"message":"Dropped lines\."/);
+});
+
+test("a writer that fails does not stop the next lines", async () => {
+    const written: string[] = [];
+    const writer = createLineWriter((text, done) => {
+        written.push(text);
+        done(new Error("closed"));
+    });
+    writer.write("a");
+    await new Promise(resolve => setImmediate(resolve));
+    writer.write("b");
+    await writer.flush(100);
+    assert.deepEqual(written, ["a\n", "b\n"]);
+});
--- a/src/node/logging/line-writer.ts
+++ b/src/node/logging/line-writer.ts
@@ -32,7 +32,9 @@
             return;
         }
         if (dropped > reported) {
-            waiting.push(JSON.stringify({ part: "logging", message: "Dropped lines.", lines: dropped - reported }));
+            waiting.push(
+                JSON.stringify({ part: "logging", message: "Dropped lines.", lines: dropped - reported }),
+            );
             reported = dropped;
         }
         const text = `${waiting.join("\n")}\n`;
--- /dev/null
+++ b/src/node/replica/__tests__/row-replica.spec.ts
@@ -0,0 +1,92 @@
+/** Guards against a node that falls back to older rows, or misses that a row was removed. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { createRowReplica } from "../row-replica.js";
+import type { ChangeSet, RowChange } from "../row-replica.js";
+
+function row(key: string, revision: number, value = `v${revision}`): RowChange {
+    return { key, revision, value };
+}
+
+function removal(key: string, revision: number): RowChange {
+    return { key, revision, value: undefined };
+}
+
+function changes(revision: number, rows: readonly RowChange[], complete = false): ChangeSet {
+    return { revision, rows, complete };
+}
+
+test("an older source changes nothing", () => {
+    const replica = createRowReplica();
+    replica.apply(changes(5, [row("a", 5)], true));
+    replica.apply(changes(4, [row("a", 3, "old")]));
+    assert.equal(replica.get("a")?.value, "v5");
+    assert.equal(replica.revision, 5);
+});
+
+test("a complete read removes what it does not list", () => {
+    const replica = createRowReplica();
+    replica.apply(changes(2, [row("a", 1), row("b", 2)], true));
+    replica.apply(changes(4, [row("a", 1)], true));
+    assert.equal(replica.get("b"), undefined);
+});
+
+test("listeners hear of each change once", () => {
+    const replica = createRowReplica();
+    const heard: string[] = [];
+    replica.onChange(list => heard.push(...list.map(change => `${change.key}@${change.revision}`)));
+    replica.apply(changes(1, [row("a", 1)], true));
+    replica.apply(changes(2, [row("a", 1), row("b", 2)]));
+    assert.deepEqual(heard, ["a@1", "b@2"]);
+});
+
+test("the first read is heard even when it is empty", () => {
+    const replica = createRowReplica();
+    let calls = 0;
+    replica.onChange(() => (calls += 1));
+    replica.apply(changes(7, [], true));
+    assert.equal(calls, 1);
+    assert.equal(replica.revision, 7);
+});
+
+test("a peer that was away learns of removals", () => {
+    const source = createRowReplica();
+    const peer = createRowReplica();
+    source.apply(changes(2, [row("a", 1), row("b", 2)], true));
+    peer.apply(source.changesSince(0));
+    source.apply(changes(3, [removal("a", 3)]));
+    peer.apply(source.changesSince(peer.revision));
+    assert.deepEqual(
+        peer.list().map(change => change.key),
+        ["b"],
+    );
+});
+
+test("peers agree with the store after any exchange", () => {
+    const step = fc.record({ key: fc.constantFrom("a", "b", "c"), remove: fc.boolean(), sync: fc.boolean() });
+    fc.assert(
+        fc.property(fc.array(step, { maxLength: 60 }), steps => {
+            const store = new Map<string, RowChange>();
+            const first = createRowReplica();
+            const second = createRowReplica();
+            let revision = 1;
+            for (const { key, remove, sync } of steps) {
+                revision += 1;
+                const change = remove ? removal(key, revision) : row(key, revision);
+                store.set(key, change);
+                first.apply(changes(revision, [change]));
+                if (sync) {
+                    second.apply(first.changesSince(second.revision));
+                }
+            }
+            second.apply(first.changesSince(second.revision));
+            const expected = [...store.values()]
+                .filter(change => change.value !== undefined)
+                .map(c => c.value);
+            const values = (list: readonly RowChange[]) => list.map(change => change.value).sort();
+            assert.deepEqual(values(first.list()), expected.sort());
+            assert.deepEqual(values(second.list()), expected);
+        }),
+    );
+});
--- a/src/node/replica/peer-sync.ts
+++ b/src/node/replica/peer-sync.ts
@@ -75,7 +75,11 @@
             const changes = answer[table];
             if (changes !== undefined && changes.revision > replicas[table].revision) {
                 replicas[table].apply(decode(changes));
-                logger.info("Took a table from a peer.", { table, peer: address, revision: changes.revision });
+                logger.info("Took a table from a peer.", {
+                    table,
+                    peer: address,
+                    revision: changes.revision,
+                });
             }
         }
     };
--- a/src/node/replica/shared-store.ts
+++ b/src/node/replica/shared-store.ts
@@ -57,11 +57,7 @@
      *
      * @throws StoreError
      */
-    readChanges(
-        table: TableName,
-        after: number,
-        waitMilliseconds: number,
-    ): Promise<ChangeSet | undefined>;
+    readChanges(table: TableName, after: number, waitMilliseconds: number): Promise<ChangeSet | undefined>;
     /** Returns whether the transaction was applied. @throws StoreError */
     transact(transaction: StoreTransaction): Promise<boolean>;
     /** Offset of the store's clock from the process's monotonic clock, milliseconds; from the last answer. */
--- /dev/null
+++ b/src/node/router/__tests__/router-settings.spec.ts
@@ -0,0 +1,81 @@
+/** Guards against settings that are taken over silently although they are wrong. */
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { resolveRouterConfig, RouterSettingsError } from "../settings.js";
+
+const VALID = [
+    "[node]",
+    "id = n1",
+    "dataCentre = patio",
+    "[callers]",
+    "listen = 10.0.0.1:80",
+    "[readiness]",
+    "listen = 10.0.0.1:81",
+    "[peers]",
+    "listen = 10.0.0.1:82",
+    "seeds = 10.0.0.2:82, 10.0.0.3:82",
+    "[loads]",
+    "listen = 10.0.0.1:83",
+    "[metrics]",
+    "address = 10.0.0.1",
+    "port = 84",
+    "[store]",
+    "endpoint = 10.0.0.9:90",
+].join("\n");
+
+function messageOf(text: string): string {
+    try {
+        resolveRouterConfig("node.ini", text);
+    }
+    catch (error) {
+        assert.ok(error instanceof RouterSettingsError);
+        return error.message;
+    }
+    return assert.fail("the settings were accepted");
+}
+
+test("defaults fill what is not set", () => {
+    const config = resolveRouterConfig("node.ini", VALID);
+    assert.deepEqual(config.peers.seeds, ["10.0.0.2:82", "10.0.0.3:82"]);
+    assert.equal(config.stop.graceMilliseconds, 8000);
+});
+
+test("an unknown key is named with its line", () => {
+    assert.match(
+        messageOf(VALID.replace("port = 84", "port = 84\nprot = 85")),
+        /line 16: section \[metrics\] key "prot"/,
+    );
+});
+
+test("an unknown section is named with its line", () => {
+    assert.match(messageOf(`${VALID}\n[extra]\na = 1`), /line 18: section \[extra\] is unknown/);
+});
+
+test("a bad value is named with its line", () => {
+    assert.match(
+        messageOf(VALID.replace("10.0.0.9:90", "store")),
+        /line 17: section \[store\] key "endpoint"/,
+    );
+    assert.match(
+        messageOf(VALID.replace("port = 84", "port = 99999")),
+        /line 15: section \[metrics\] key "port": .*65535/,
+    );
+});
+
+test("a missing section is named", () => {
+    assert.match(
+        messageOf(VALID.replace("[store]\nendpoint = 10.0.0.9:90", "")),
+        /section \[store\] is missing/,
+    );
+});
+
+test("the template of the deployment names known keys only", () => {
+    const template = new URL("../../../../../deploy/settings.ini", import.meta.url);
+    const filled = readFileSync(template, "utf8")
+        .replaceAll(/\{\{(listen-addresses|platform)\.[^}]+\}\}/g, "10.0.0.1:80")
+        .replaceAll("{{ip}}:{{internal-port-range.0}}", "10.0.0.1:80")
+        .replaceAll(/\{\{ip\}\}/g, "10.0.0.1")
+        .replaceAll(/\{\{[^}]+\}\}/g, "0.5");
+    assert.equal(resolveRouterConfig("settings.ini", filled).shifts.exposureShare, 0.5);
+});
--- a/src/node/router/node-list.ts
+++ b/src/node/router/node-list.ts
@@ -55,11 +55,11 @@
         if (replica.revision === 0 || replica.get(key)?.value === value) {
             return;
         }
-        store
-            .transact({ conditions: [], writes: [{ table: "nodes", key, value }] })
-            .catch((error: unknown) =>
-                logger.warn("Could not announce the node; trying again.", { error: (error as Error).message }),
-            );
+        store.transact({ conditions: [], writes: [{ table: "nodes", key, value }] }).catch((error: unknown) =>
+            logger.warn("Could not announce the node; trying again.", {
+                error: (error as Error).message,
+            }),
+        );
     };
 
     options.lifecycle.add({
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -232,8 +232,7 @@
             const isNew = prefersNew(sessionKey, sessions.recent(sessionKey, clock.now()));
             return version => (version === newVersion) === isNew;
         },
-        recordSession: (sessionKey, runner) =>
-            sessions.record(sessionKey, runner.entry.version, clock.now()),
+        recordSession: (sessionKey, runner) => sessions.record(sessionKey, runner.entry.version, clock.now()),
         retryBudget: createRetryBudget({
             ratio: config.retries.ratio * RETRY_RATIO_MARGIN,
             windowMilliseconds: config.retries.windowSeconds * 1000,
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -2,6 +2,10 @@
 import { readFileSync } from "node:fs";
 import { parse } from "ini";
 import * as z from "zod/mini";
+import en from "zod/v4/locales/en.js";
+
+// Problems are described in words.
+z.config(en());
 
 const port = z.coerce.number().check(z.int(), z.minimum(1), z.maximum(65_535));
 const address = z.string().check(z.minLength(1));
@@ -58,10 +62,10 @@
     retries: z.prefault(
         z.strictObject({
             /** Further sends per request over all nodes. */
-            ratio: z._default(amount, 0.5),
+            ratio: z._default(amount, 0.9),
             windowSeconds: z._default(positive, 10),
             /** Further sends in a window that need no requests, over all nodes. */
-            extra: z._default(amount, 10),
+            extra: z._default(amount, 20),
         }),
         {},
     ),
--- /dev/null
+++ b/src/node/runners/__tests__/load-board.spec.ts
@@ -0,0 +1,38 @@
+/** Guards against loads that are counted twice, never end or outlive the node that reported them. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createLoadBoard, NO_LOAD } from "../load-board.js";
+
+test("own load falls as the prompt is read and the request ends", () => {
+    const board = createLoadBoard();
+    const entry = board.begin("a", 500, 800);
+    assert.deepEqual(board.total("a", 0), { pendingTokens: 500, requests: 1, heldTokens: 800 });
+    entry.promptRead();
+    entry.promptRead();
+    assert.deepEqual(board.total("a", 0), { pendingTokens: 0, requests: 1, heldTokens: 800 });
+    entry.end();
+    entry.end();
+    assert.deepEqual(board.total("a", 0), NO_LOAD);
+    assert.equal(board.own().size, 0);
+});
+
+test("a request that ends unread leaves no load", () => {
+    const board = createLoadBoard();
+    board.begin("a", 500, 800).end();
+    assert.deepEqual(board.total("a", 0), NO_LOAD);
+});
+
+test("reports of other nodes count until they are old", () => {
+    const board = createLoadBoard();
+    board.report("n2", new Map([["a", { pendingTokens: 10, requests: 2, heldTokens: 20 }]]), 1000);
+    board.begin("a", 5, 5);
+    assert.equal(board.total("a", 2000).requests, 3);
+    assert.equal(board.total("a", 2600).requests, 1);
+});
+
+test("a new report replaces the one before", () => {
+    const board = createLoadBoard();
+    board.report("n2", new Map([["a", { pendingTokens: 10, requests: 2, heldTokens: 20 }]]), 1000);
+    board.report("n2", new Map(), 1100);
+    assert.deepEqual(board.total("a", 1100), NO_LOAD);
+});
--- /dev/null
+++ b/src/node/runners/__tests__/runners.ts
@@ -0,0 +1,46 @@
+/** Upstreams for tests of the choice. */
+import { NO_LOAD } from "../load-board.js";
+import type { Load } from "../load-board.js";
+import type { ChoiceContext } from "../runner-choice.js";
+import { createRunnerHealth } from "../runner-health.js";
+import type { Runner, RunnerEntry } from "../runner-table.js";
+
+export function createEntry(id: string, overrides: Partial<RunnerEntry> = {}): RunnerEntry {
+    return {
+        id,
+        service: "engines",
+        address: "127.0.0.1:1",
+        dataCentre: "patio",
+        version: "v1",
+        slots: 8,
+        leaving: false,
+        coldMilliseconds: 0,
+        bornAt: 1,
+        ...overrides,
+    };
+}
+
+export function createTestRunner(id: string, overrides: Partial<RunnerEntry> = {}, coldUntil = 0): Runner {
+    return { entry: createEntry(id, overrides), coldUntil, health: createRunnerHealth(), recentSends: [] };
+}
+
+export function createContext(overrides: Partial<ChoiceContext> = {}): ChoiceContext {
+    return {
+        now: 10_000,
+        affinityKey: undefined,
+        sharedTokens: 0,
+        neededTokens: 0,
+        capacityTokens: undefined,
+        loadOf: () => NO_LOAD,
+        prefersVersion: undefined,
+        excluded: new Set(),
+        coldAllowance: () => Infinity,
+        random: () => 0,
+        ...overrides,
+    };
+}
+
+/** Loads by upstream; others have none. */
+export function loadsOf(loads: Readonly<Record<string, Partial<Load>>>): ChoiceContext["loadOf"] {
+    return runner => ({ ...NO_LOAD, ...loads[runner.entry.id] });
+}
--- a/src/node/runners/load-reports.ts
+++ b/src/node/runners/load-reports.ts
@@ -66,7 +66,8 @@
 
     const send = (): void => {
         idleIntervals = board.revision === sentRevision ? idleIntervals + 1 : 0;
-        const isRepeat = idleIntervals > 0 && board.own().size > 0 && idleIntervals % REPEAT_AFTER_INTERVALS === 0;
+        const isRepeat =
+            idleIntervals > 0 && board.own().size > 0 && idleIntervals % REPEAT_AFTER_INTERVALS === 0;
         if (idleIntervals > 0 && !isRepeat) {
             return;
         }
--- a/src/node/runners/runner-health.ts
+++ b/src/node/runners/runner-health.ts
@@ -50,7 +50,10 @@
             failuresInRow += 1;
             if (failuresInRow >= EJECTING_FAILURES || failureShare >= EJECTING_FAILURE_SHARE) {
                 const ejection = EJECTION_MILLISECONDS * 2 ** Math.max(0, failuresInRow - EJECTING_FAILURES);
-                avoidedUntil = Math.max(avoidedUntil, now + Math.min(LONGEST_EJECTION_MILLISECONDS, ejection));
+                avoidedUntil = Math.max(
+                    avoidedUntil,
+                    now + Math.min(LONGEST_EJECTION_MILLISECONDS, ejection),
+                );
             }
         },
         recordRejection: now => {
--- /dev/null
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -0,0 +1,211 @@
+/** Guards against exposure to bad versions, sessions that change their version and shifts that never end. */
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createLifecycle } from "../../lifecycle/lifecycle.js";
+import { silentLogging } from "../../logging/logging.js";
+import { createRowReplica } from "../../replica/row-replica.js";
+import type { SharedStore, StoreTransaction } from "../../replica/shared-store.js";
+import { createShiftCoordinator } from "../shift-coordinator.js";
+import { nextStage, versionRule } from "../shift.js";
+import type { ShiftOrder, ShiftState } from "../shift.js";
+import { assessEvidence, countEvidence, mergeEvidence } from "../shift-evidence.js";
+import type { EvidenceTable } from "../shift-evidence.js";
+import { createSessionVersions } from "../session-versions.js";
+
+const settings = { canaryShare: 0.1, fullAt: 0.55, completeAt: 0.8 };
+const order: ShiftOrder = { service: "engines", version: "v2", durationMilliseconds: 20_000, revision: 9 };
+const canary: ShiftState = { orderRevision: 9, version: "v2", stage: "canary", startedAt: 1000 };
+
+function collect(
+    newErrors: number,
+    newAnswers: number,
+    oldErrors: number,
+    oldAnswers: number,
+): EvidenceTable {
+    let table: EvidenceTable = {};
+    const add = (isNew: boolean, errors: number, answers: number): void => {
+        for (let index = 0; index < answers; index++) {
+            table = countEvidence(table, "reports", isNew, index >= errors, 100);
+        }
+    };
+    add(true, newErrors, newAnswers);
+    add(false, oldErrors, oldAnswers);
+    return table;
+}
+
+test("the new version gets nothing before the shift is recorded", () => {
+    const rule = versionRule(order, undefined, settings);
+    assert.equal(rule.isAllowed("v2"), false);
+    assert.equal(rule.isAllowed("v1"), true);
+});
+
+test("a canary gets a fixed share of new sessions", () => {
+    const { prefersNew } = versionRule(order, canary, settings);
+    const share = Array.from({ length: 5000 }, (_, index) => prefersNew!(`s${index}`, undefined)).filter(
+        Boolean,
+    );
+    assert.ok(share.length > 350 && share.length < 650, `${share.length} of 5000`);
+});
+
+test("a session keeps its version during the canary", () => {
+    const { prefersNew } = versionRule(order, canary, settings);
+    for (let index = 0; index < 100; index++) {
+        assert.equal(prefersNew!(`s${index}`, "v1"), false);
+        assert.equal(prefersNew!(`s${index}`, "v2"), true);
+    }
+});
+
+test("a state of an older order does not count", () => {
+    assert.equal(versionRule({ ...order, revision: 10 }, canary, settings).isAllowed("v2"), false);
+});
+
+test("after a roll-back the version gets nothing", () => {
+    assert.equal(versionRule(order, { ...canary, stage: "rolled-back" }, settings).isAllowed("v2"), false);
+});
+
+test("stages follow evidence and time", () => {
+    const good = { isBad: false, answers: 50 };
+    assert.equal(nextStage(order, canary, good, 5000, settings), undefined);
+    assert.equal(nextStage(order, canary, good, 13_000, settings), "full");
+    assert.equal(nextStage(order, canary, { isBad: false, answers: 2 }, 13_000, settings), undefined);
+    assert.equal(nextStage(order, { ...canary, stage: "full" }, good, 18_000, settings), "completed");
+    assert.equal(nextStage(order, canary, { isBad: true, answers: 9 }, 2000, settings), "rolled-back");
+    assert.equal(nextStage(order, { ...canary, stage: "rolled-back" }, good, 18_000, settings), undefined);
+});
+
+test("a version that fails half of its answers is found after few", () => {
+    assert.equal(assessEvidence(collect(8, 16, 1, 150)).isBad, true);
+});
+
+test("a version as bad as the old one is not called bad", () => {
+    assert.equal(assessEvidence(collect(7, 50, 60, 450)).isBad, false);
+});
+
+test("a version that is eight times as slow is found", () => {
+    let table: EvidenceTable = {};
+    for (let index = 0; index < 15; index++) {
+        table = countEvidence(table, "reports", true, true, 700 + 20 * index);
+        table = countEvidence(table, "reports", false, true, 80 + 5 * index);
+    }
+    assert.equal(assessEvidence(table).isBad, true);
+});
+
+test("evidence of several nodes adds up", () => {
+    const each = collect(2, 4, 0, 30);
+    assert.equal(assessEvidence(each).isBad, false);
+    assert.equal(assessEvidence(mergeEvidence([each, each, each, each])).isBad, true);
+});
+
+test("sessions are forgotten when they are idle", () => {
+    const sessions = createSessionVersions(5000);
+    sessions.record("s", "v1", 0);
+    assert.equal(sessions.recent("s", 4000), "v1");
+    assert.equal(sessions.recent("s", 5000), undefined);
+    sessions.record("t", "v1", 6000);
+    assert.equal(sessions.size, 1);
+});
+
+/** Two coordinators over one store with conditional writes. */
+function createNodes(names: readonly string[]) {
+    const rows = new Map<string, { readonly value: string; readonly revision: number }>();
+    const replicas = names.map(() => createRowReplica());
+    let revision = 1;
+    let isUp = true;
+    const transact = ({ conditions, writes }: StoreTransaction): Promise<boolean> => {
+        if (!isUp) {
+            return Promise.reject(new Error("down"));
+        }
+        if (conditions.some(condition => (rows.get(condition.key)?.revision ?? 0) !== condition.revision)) {
+            return Promise.resolve(false);
+        }
+        revision += 1;
+        for (const { table, key, value } of writes) {
+            rows.set(`${table === "reports" ? "report:" : ""}${key}`, { value: value!, revision });
+            if (table !== "reports") {
+                replicas.forEach(replica =>
+                    replica.apply({ revision, complete: false, rows: [{ key, revision, value }] }),
+                );
+            }
+        }
+        return Promise.resolve(true);
+    };
+    const store = { transact, clockOffset: () => 0 } as unknown as SharedStore;
+    replicas.forEach(replica => replica.apply({ revision: 1, complete: true, rows: [] }));
+    const lifecycle = createLifecycle();
+    const coordinators = names.map((node, index) =>
+        createShiftCoordinator({
+            node,
+            orders: () => [order],
+            replica: replicas[index]!,
+            store,
+            encodeReport: (_order, stage) => ({ table: "reports", key: "shift", value: stage }),
+            settings,
+            clock: { now: Date.now, wallTime: Date.now },
+            lifecycle,
+            logger: silentLogging("shifts"),
+        }),
+    );
+    return {
+        coordinators,
+        lifecycle,
+        report: () => rows.get("report:shift")?.value,
+        setUp: (up: boolean) => {
+            isUp = up;
+        },
+    };
+}
+
+async function pass(mock: { tick(milliseconds: number): void }, milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += 100) {
+        mock.tick(100);
+        for (let turn = 0; turn < 5; turn++) {
+            await Promise.resolve();
+        }
+    }
+}
+
+test("a sound version is completed in time", async context => {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const { coordinators, lifecycle, report } = createNodes(["a", "b"]);
+    await lifecycle.start();
+    await pass(context.mock.timers, 1000);
+    assert.equal(report(), "canary");
+    for (let index = 0; index < 20; index++) {
+        coordinators[index % 2]!.record("engines", "v2", "reports", true, 100);
+        coordinators[index % 2]!.record("engines", "v1", "reports", true, 100);
+    }
+    await pass(context.mock.timers, 18_000);
+    assert.equal(report(), "completed");
+    await lifecycle.stop();
+});
+
+test("errors spread over nodes roll back on both", async context => {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const { coordinators, lifecycle, report } = createNodes(["a", "b"]);
+    await lifecycle.start();
+    await pass(context.mock.timers, 1000);
+    for (let index = 0; index < 16; index++) {
+        coordinators[index % 2]!.record("engines", "v2", "reports", index % 4 === 0, 100);
+        coordinators[index % 2]!.record("engines", "v1", "reports", true, 100);
+        coordinators[index % 2]!.record("engines", "v1", "reports", true, 100);
+    }
+    await pass(context.mock.timers, 3000);
+    assert.equal(report(), "rolled-back");
+    assert.ok(coordinators.every(coordinator => !coordinator.rule("engines").isAllowed("v2")));
+    await lifecycle.stop();
+});
+
+test("a node that cannot reach the store brakes alone", async context => {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const { coordinators, lifecycle, setUp } = createNodes(["a"]);
+    await lifecycle.start();
+    await pass(context.mock.timers, 1000);
+    setUp(false);
+    for (let index = 0; index < 20; index++) {
+        coordinators[0]!.record("engines", "v2", "reports", false, 100);
+        coordinators[0]!.record("engines", "v1", "reports", true, 100);
+    }
+    await pass(context.mock.timers, 2000);
+    assert.equal(coordinators[0]!.rule("engines").isAllowed("v2"), false);
+    await lifecycle.stop();
+});
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -126,7 +126,11 @@
         shift.state = next;
     };
 
-    const write = (shift: LocalShift, writes: readonly RowWrite[], stateRevision: number | undefined): void => {
+    const write = (
+        shift: LocalShift,
+        writes: readonly RowWrite[],
+        stateRevision: number | undefined,
+    ): void => {
         shift.writing = true;
         const conditions =
             stateRevision === undefined
@@ -286,7 +290,9 @@
         },
         states: () =>
             new Map(
-                [...shifts].flatMap(([service, { state }]) => (state === undefined ? [] : [[service, state]])),
+                [...shifts].flatMap(([service, { state }]) =>
+                    state === undefined ? [] : [[service, state]],
+                ),
             ),
     };
 }
