Take the reset of a connection for what it is

Ruled out: bytes after a complete answer; the client library drops those connections. Change: the connector marks resets with a code of its own.

--- a/scripts/slim/undici.cjs
+++ b/scripts/slim/undici.cjs
@@ -5,6 +5,7 @@
 Dispatcher.prototype.request = require("undici/lib/api/api-request.js");
 
 exports.Agent = Agent;
+exports.buildConnector = require("undici/lib/core/connect.js");
 
 /** Like `request` of undici, for calls that name their dispatcher. */
 exports.request = (url, { dispatcher, ...options }) => {
--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -1,6 +1,6 @@
 /** Sends exchanges to upstreams over HTTP with undici and reports what is certain about them. */
 import type { IncomingHttpHeaders } from "node:http";
-import { Agent } from "undici";
+import { Agent, buildConnector } from "undici";
 import type { Dispatcher } from "undici";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Verdict } from "../verdict/verdict.js";
@@ -62,15 +62,35 @@
 /** Milliseconds by which a connection is given up before the time that the upstream announces for idle ones. */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 700;
 
+/** Code of a connection that the upstream reset. */
+const RESET_CODE = "UPSTREAM_RESET";
+
+/**
+ * Connects like undici, but marks resets: undici takes the reset of a connection for the end of an answer that
+ * has no length, and an answer that was cut would look complete.
+ */
+function createConnector(): buildConnector.connector {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+    return (options, callback) => {
+        connect(options, (...result) => {
+            const [, socket] = result;
+            socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
+                error.code = error.code === "ECONNRESET" ? RESET_CODE : error.code;
+            });
+            callback(...result);
+        });
+    };
+}
+
 export function createHttpSend(lifecycle: Lifecycle): UpstreamSend {
     const kept = new Agent({
         pipelining: 1,
-        connectTimeout: CONNECT_TIMEOUT_MILLISECONDS,
+        connect: createConnector(),
         keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
     });
     // Without pipelining undici closes each connection after its first answer.
-    const unshared = new Agent({ pipelining: 0, connectTimeout: CONNECT_TIMEOUT_MILLISECONDS });
+    const unshared = new Agent({ pipelining: 0, connect: createConnector() });
     lifecycle.add({
         name: "upstream connections",
         start: () => async () => {
