Pass answers without a length on without one; verify their end where the request may run again

Ruled out: a reset that the client library hides (the connection's events show an end and no error). Change: such answers end with their connection; lookups and resumable streams go to another upstream first.

--- a/src/node/forwarding/answer-sink.ts
+++ b/src/node/forwarding/answer-sink.ts
@@ -1,5 +1,6 @@
 /** Passes an answer on to the caller: whole, or as a stream of events that may come from several upstreams. */
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { BufferedAnswer } from "./attempt.js";
 import { createEventCutter } from "./event-cutter.js";
 import type { EventCutter } from "./event-cutter.js";
 
@@ -25,12 +26,8 @@
     /** Ends a stream that the upstream ended. Returns false when an event is incomplete. */
     endStream(): boolean;
     end(): void;
-    /** Sends a whole answer. */
-    deliver(answer: {
-        readonly status: number;
-        readonly headers: IncomingHttpHeaders;
-        readonly body: Buffer;
-    }): void;
+    /** Sends an answer that was read to its end. */
+    deliver(answer: BufferedAnswer): void;
 }
 
 export interface AnswerSinkOptions {
@@ -101,10 +98,16 @@
         },
         end: () => response.end(),
         deliver: answer => {
-            begin(answer.status, {
-                ...options.encodeHeaders(answer.headers),
-                "content-length": answer.body.length,
-            });
+            const headers = options.encodeHeaders(answer.headers);
+            if (answer.isFramed) {
+                begin(answer.status, { ...headers, "content-length": answer.body.length });
+            }
+            else {
+                // The caller learns as little about the end as the router: the connection ends with the answer.
+                response.shouldKeepAlive = false;
+                response.useChunkedEncodingByDefault = false;
+                begin(answer.status, headers);
+            }
             response.end(answer.body);
         },
     };
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -12,6 +12,8 @@
     readonly status: number;
     readonly headers: IncomingHttpHeaders;
     readonly body: Buffer;
+    /** The upstream said how long the answer is, so its end is certain. */
+    readonly isFramed: boolean;
 }
 
 export type AttemptResult =
@@ -44,6 +46,8 @@
     readonly gapMilliseconds: number | undefined;
     /** Time until the request ends in any case, milliseconds. */
     readonly remainingMilliseconds: number;
+    /** The request may run again to make sure of an answer whose upstream did not say how long it is. */
+    readonly mayVerifyEnd: boolean;
     /** Aborted when the caller leaves. */
     readonly callerLeft: AbortSignal;
     readonly onHead?: (head: ResponseHead) => void;
@@ -66,6 +70,11 @@
     return status >= 200 && status < 300;
 }
 
+/** Whether the end of an answer can be told from the end of its connection. */
+export function hasKnownEnd(headers: IncomingHttpHeaders): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
 /** Returns why an answer cannot be the one to this request, or `undefined`. */
 function foreignReason(
     status: number,
@@ -221,8 +230,13 @@
             if (settled) {
                 return;
             }
+            const isFramed = hasKnownEnd(headers);
             if (mode === "stream") {
-                if (sink.endStream()) {
+                if (!isFramed && options.mayVerifyEnd) {
+                    // Another upstream sends what is missing behind the last event, if anything.
+                    finish({ kind: "lost", reason: "the end of the stream is not certain" });
+                }
+                else if (sink.endStream()) {
                     finish({ kind: "delivered", status });
                 }
                 else {
@@ -235,7 +249,11 @@
                 finish({ kind: "delivered", status });
                 return;
             }
-            const answer = { status, headers, body: Buffer.concat(chunks) };
+            const answer = { status, headers, body: Buffer.concat(chunks), isFramed };
+            if (!isFramed && isSuccess(status) && options.mayVerifyEnd) {
+                finish({ kind: "failed", reason: "the end of the answer is not certain", answer });
+                return;
+            }
             if (isSuccess(status) || (status < 500 && !promisesNotRun(status))) {
                 sink.deliver(answer);
                 finish({ kind: "delivered", status });
--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -292,6 +292,7 @@
                         ? route.targetGapMilliseconds * GAP_TIMEOUT_RATIO
                         : undefined,
                 remainingMilliseconds: Math.max(0, deadline - sentAt),
+                mayVerifyEnd: mayMove,
                 callerLeft: request.callerLeft,
                 onHead: responseHead => {
                     load.promptRead();
