Keep sessions from before a shift on the old version at every node

Ruled out: a longer memory, as the node had restarted. Change: a shift begins by collecting the sessions that go on; each node shares its list in one row, and these sessions stay on the old version everywhere.

--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -45,6 +45,9 @@
 /** Share of the exposure that a canary uses: sessions differ in their number of requests. */
 const CANARY_MARGIN = 0.7;
 
+/** Largest share of a shift's duration in which running sessions are collected. */
+const COLLECT_SHARE = 0.25;
+
 /** Shares of a shift's duration at which it goes on to all requests, and is completed. */
 const FULL_AT = 0.55;
 const COMPLETE_AT = 0.8;
@@ -185,6 +188,8 @@
         store: adapter.store,
         encodeReport: (order, stage) => adapter.encodeShiftReport(order, stage),
         settings: {
+            sessionMilliseconds: config.sessions.idleSeconds * 1000,
+            collectShare: COLLECT_SHARE,
             canaryShare: config.shifts.exposureShare * CANARY_MARGIN,
             fullAt: FULL_AT,
             completeAt: COMPLETE_AT,
@@ -232,7 +237,10 @@
             const isNew = prefersNew(sessionKey, sessions.recent(sessionKey, clock.now()));
             return version => (version === newVersion) === isNew;
         },
-        recordSession: (sessionKey, runner) => sessions.record(sessionKey, runner.entry.version, clock.now()),
+        recordSession: (sessionKey, runner) => {
+            sessions.record(sessionKey, runner.entry.version, clock.now());
+            shifts.recordSession(runner.entry.service, sessionKey);
+        },
         retryBudget: createRetryBudget({
             ratio: config.retries.ratio * RETRY_RATIO_MARGIN,
             windowMilliseconds: config.retries.windowSeconds * 1000,
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -12,9 +12,16 @@
 import type { EvidenceTable } from "../shift-evidence.js";
 import { createSessionVersions } from "../session-versions.js";
 
-const settings = { canaryShare: 0.1, fullAt: 0.55, completeAt: 0.8 };
+const settings = {
+    sessionMilliseconds: 1000,
+    collectShare: 0.25,
+    canaryShare: 0.1,
+    fullAt: 0.55,
+    completeAt: 0.8,
+};
 const order: ShiftOrder = { service: "engines", version: "v2", durationMilliseconds: 20_000, revision: 9 };
 const canary: ShiftState = { orderRevision: 9, version: "v2", stage: "canary", startedAt: 1000 };
+const view = { storeTime: 5000, isCollected: () => false };
 
 function collect(
     newErrors: number,
@@ -34,13 +41,13 @@
 }
 
 test("the new version gets nothing before the shift is recorded", () => {
-    const rule = versionRule(order, undefined, settings);
+    const rule = versionRule(order, undefined, view, settings);
     assert.equal(rule.isAllowed("v2"), false);
     assert.equal(rule.isAllowed("v1"), true);
 });
 
 test("a canary gets a fixed share of new sessions", () => {
-    const { prefersNew } = versionRule(order, canary, settings);
+    const { prefersNew } = versionRule(order, canary, view, settings);
     const share = Array.from({ length: 5000 }, (_, index) => prefersNew!(`s${index}`, undefined)).filter(
         Boolean,
     );
@@ -48,19 +55,32 @@
 });
 
 test("a session keeps its version during the canary", () => {
-    const { prefersNew } = versionRule(order, canary, settings);
+    const { prefersNew } = versionRule(order, canary, view, settings);
     for (let index = 0; index < 100; index++) {
         assert.equal(prefersNew!(`s${index}`, "v1"), false);
         assert.equal(prefersNew!(`s${index}`, "v2"), true);
     }
 });
 
+test("sessions from before the shift stay on the old version at every node", () => {
+    const during = versionRule(order, canary, { ...view, storeTime: 1900 }, settings);
+    const after = versionRule(order, canary, { ...view, isCollected: key => key === "s1" }, settings);
+    for (let index = 0; index < 100; index++) {
+        assert.equal(during.prefersNew!(`s${index}`, undefined), false);
+    }
+    assert.equal(after.prefersNew!("s1", undefined), false);
+    assert.equal(after.prefersNew!("s1", "v2"), false);
+});
+
 test("a state of an older order does not count", () => {
-    assert.equal(versionRule({ ...order, revision: 10 }, canary, settings).isAllowed("v2"), false);
+    assert.equal(versionRule({ ...order, revision: 10 }, canary, view, settings).isAllowed("v2"), false);
 });
 
 test("after a roll-back the version gets nothing", () => {
-    assert.equal(versionRule(order, { ...canary, stage: "rolled-back" }, settings).isAllowed("v2"), false);
+    assert.equal(
+        versionRule(order, { ...canary, stage: "rolled-back" }, view, settings).isAllowed("v2"),
+        false,
+    );
 });
 
 test("stages follow evidence and time", () => {
@@ -195,6 +215,21 @@
     await lifecycle.stop();
 });
 
+test("a session that one node collected stays old at the other", async context => {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const { coordinators, lifecycle } = createNodes(["a", "b"]);
+    await lifecycle.start();
+    await pass(context.mock.timers, 700);
+    const keys = Array.from({ length: 200 }, (_, index) => `s${index}`);
+    keys.forEach(key => coordinators[0]!.recordSession("engines", key));
+    await pass(context.mock.timers, 2000);
+    const rule = coordinators[1]!.rule("engines");
+    assert.ok(keys.every(key => !rule.prefersNew!(key, undefined)));
+    const others = Array.from({ length: 200 }, (_, index) => `t${index}`);
+    assert.ok(others.some(key => rule.prefersNew!(key, undefined)));
+    await lifecycle.stop();
+});
+
 test("a node that cannot reach the store brakes alone", async context => {
     context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
     const { coordinators, lifecycle, setUp } = createNodes(["a"]);
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -8,13 +8,15 @@
 import type { Logger } from "../logging/logging.js";
 import type { RowReplica } from "../replica/row-replica.js";
 import type { RowWrite, SharedStore } from "../replica/shared-store.js";
-import { laterState, nextStage, versionRule } from "./shift.js";
-import type { ShiftOrder, ShiftSettings, ShiftStage, ShiftState, VersionRule } from "./shift.js";
+import { isCanarySession, isCollecting, laterState, nextStage, versionRule } from "./shift.js";
+import type { ShiftOrder, ShiftSettings, ShiftStage, ShiftState, ShiftView, VersionRule } from "./shift.js";
 import { assessEvidence, countEvidence, mergeEvidence } from "./shift-evidence.js";
 import type { EvidenceTable } from "./shift-evidence.js";
 
 export interface ShiftCoordinator {
     rule(service: string): VersionRule;
+    /** Notes that a request of a session is sent, so that the session keeps its version. */
+    recordSession(service: string, sessionKey: string): void;
     /** Takes the outcome of an attempt as evidence. */
     record(
         service: string,
@@ -57,6 +59,9 @@
 interface LocalShift {
     readonly order: ShiftOrder;
     readonly seenAt: number;
+    /** Sessions of the canary's share that this node saw while sessions were collected. */
+    readonly sessions: Set<string>;
+    hasReportedSessions: boolean;
     evidence: EvidenceTable;
     /** Errors and answers of the new version at the last report. */
     reportedErrors: number;
@@ -68,11 +73,20 @@
     writing: boolean;
 }
 
+interface SessionsRow {
+    readonly orderRevision: number;
+    readonly sessions: readonly string[];
+}
+
 interface EvidenceRow {
     readonly orderRevision: number;
     readonly evidence: EvidenceTable;
 }
 
+const SESSIONS_PREFIX = "sessions/";
+
+const NO_VIEW: ShiftView = { storeTime: undefined, isCollected: () => false };
+
 function stateKey(service: string): string {
     return `shift/${service}`;
 }
@@ -96,6 +110,8 @@
         const shift: LocalShift = {
             order,
             seenAt: now,
+            sessions: new Set(),
+            hasReportedSessions: false,
             evidence: {},
             reportedErrors: 0,
             hasReportedAnswers: false,
@@ -173,6 +189,39 @@
         );
     };
 
+    const storeTime = (): number | undefined => {
+        const offset = store.clockOffset();
+        return offset === undefined ? undefined : clock.now() + offset;
+    };
+
+    /** Sessions that other nodes collected, by service; read again when the rows change. */
+    const collected = new Map<string, ReadonlySet<string>>();
+    replica.onChange(changes => {
+        if (changes.some(change => change.key.startsWith(SESSIONS_PREFIX))) {
+            collected.clear();
+        }
+    });
+
+    const collectedSessions = (order: ShiftOrder): ReadonlySet<string> => {
+        let sessions = collected.get(order.service);
+        if (sessions === undefined) {
+            const rows = replica
+                .list(`${SESSIONS_PREFIX}${order.service}/`)
+                .map(row => JSON.parse(row.value!) as SessionsRow)
+                .filter(row => row.orderRevision === order.revision);
+            sessions = new Set(rows.flatMap(row => row.sessions));
+            collected.set(order.service, sessions);
+        }
+        return sessions;
+    };
+
+    const reportSessions = (shift: LocalShift): void => {
+        shift.hasReportedSessions = true;
+        const row: SessionsRow = { orderRevision: shift.order.revision, sessions: [...shift.sessions] };
+        const key = `${SESSIONS_PREFIX}${shift.order.service}/${options.node}`;
+        write(shift, [{ table: "nodes", key, value: JSON.stringify(row) }], undefined);
+    };
+
     const ownEvidenceKey = (service: string): string => `evidence/${service}/${options.node}`;
 
     const mergedEvidence = (shift: LocalShift): EvidenceTable => {
@@ -213,18 +262,16 @@
         if (stored !== undefined) {
             adopt(shift, stored, "store");
         }
-        const offset = store.clockOffset();
-        const now = clock.now();
-        if (offset === undefined || shift.writing || now < shift.nextWriteAt) {
+        const time = storeTime();
+        if (time === undefined || shift.writing || clock.now() < shift.nextWriteAt) {
             return;
         }
-        const storeTime = now + offset;
         if (shift.state === undefined) {
             writeStage(shift, {
                 orderRevision: order.revision,
                 version: order.version,
                 stage: "canary",
-                startedAt: storeTime,
+                startedAt: time,
             });
             return;
         }
@@ -232,9 +279,18 @@
             writeStage(shift, shift.state);
             return;
         }
-        const progress = (storeTime - shift.state.startedAt) / order.durationMilliseconds;
+        if (
+            !shift.hasReportedSessions &&
+            shift.sessions.size > 0 &&
+            shift.state.stage === "canary" &&
+            !isCollecting(order, shift.state, time, settings)
+        ) {
+            reportSessions(shift);
+            return;
+        }
+        const progress = (time - shift.state.startedAt) / order.durationMilliseconds;
         const assessment = assessEvidence(mergedEvidence(shift));
-        const stage = nextStage(order, shift.state, assessment, storeTime, settings);
+        const stage = nextStage(order, shift.state, assessment, time, settings);
         if (stage === "rolled-back") {
             logger.warn("The new version is bad; going back.", {
                 service: order.service,
@@ -268,7 +324,7 @@
         rule: service => {
             const order = options.orders().find(candidate => candidate.service === service);
             if (order === undefined) {
-                return versionRule(undefined, undefined, settings);
+                return versionRule(undefined, undefined, NO_VIEW, settings);
             }
             const stored = readState(order);
             const local = shifts.get(service);
@@ -277,7 +333,23 @@
                 stored !== undefined && localState !== undefined
                     ? laterState(stored, localState)
                     : (stored ?? localState);
-            return versionRule(order, state, settings);
+            const sessions = local?.order.revision === order.revision ? local.sessions : undefined;
+            const view: ShiftView = {
+                storeTime: storeTime(),
+                isCollected: sessionKey =>
+                    sessions?.has(sessionKey) === true || collectedSessions(order).has(sessionKey),
+            };
+            return versionRule(order, state, view, settings);
+        },
+        recordSession: (service, sessionKey) => {
+            const shift = shifts.get(service);
+            if (
+                shift?.state?.stage === "canary" &&
+                isCollecting(shift.order, shift.state, storeTime(), settings) &&
+                isCanarySession(sessionKey, settings)
+            ) {
+                shift.sessions.add(sessionKey);
+            }
         },
         record: (service, version, stratum, succeeded, latencyMilliseconds) => {
             const shift = shifts.get(service);
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -3,7 +3,9 @@
  *
  * The state lies in one row that any node may advance under a condition; a node never goes back in the order
  * of stages. During the canary stage a fixed share of the sessions runs on the new version, so that the
- * exposure to a bad version is bounded over the whole shift and a session keeps its version.
+ * exposure to a bad version is bounded over the whole shift and a session keeps its version. The stage begins
+ * with a time in which all sessions run on the old version and the nodes collect them: a session that goes on
+ * from before the shift is seen then, and stays on the old version at every node.
  */
 import { hashToUnit } from "../common/hash.js";
 
@@ -28,6 +30,10 @@
 }
 
 export interface ShiftSettings {
+    /** Time after which a session without requests has ended, milliseconds. */
+    readonly sessionMilliseconds: number;
+    /** Largest share of the duration in which sessions are collected. */
+    readonly collectShare: number;
     /** Share of the sessions that run on the new version until it has proved itself. */
     readonly canaryShare: number;
     /** Share of the duration after which a sound version gets all requests. */
@@ -43,6 +49,30 @@
     return STAGE_ORDER.indexOf(second.stage) > STAGE_ORDER.indexOf(first.stage) ? second : first;
 }
 
+/** What a node knows beside the state of a shift. */
+export interface ShiftView {
+    /** Time on the store's clock, milliseconds; `undefined` while it is not known. */
+    readonly storeTime: number | undefined;
+    /** Whether some node saw the session while sessions were collected. */
+    readonly isCollected: (sessionKey: string) => boolean;
+}
+
+/** Returns whether the sessions that go on from before the shift are still being collected. */
+export function isCollecting(
+    order: ShiftOrder,
+    state: ShiftState,
+    storeTime: number | undefined,
+    settings: ShiftSettings,
+): boolean {
+    const time = Math.min(settings.sessionMilliseconds, settings.collectShare * order.durationMilliseconds);
+    return storeTime === undefined || storeTime < state.startedAt + time;
+}
+
+/** Returns whether a session that begins during the canary stage runs on the new version. */
+export function isCanarySession(sessionKey: string, settings: ShiftSettings): boolean {
+    return hashToUnit(`shift\u0000${sessionKey}`) < settings.canaryShare;
+}
+
 export interface VersionRule {
     /** Versions that may get requests; `undefined` for all. */
     readonly isAllowed: (version: string) => boolean;
@@ -61,6 +91,7 @@
 export function versionRule(
     order: ShiftOrder | undefined,
     state: ShiftState | undefined,
+    view: ShiftView,
     settings: ShiftSettings,
 ): VersionRule {
     if (order === undefined) {
@@ -77,9 +108,11 @@
             return {
                 isAllowed: () => true,
                 prefersNew: (sessionKey, lastVersion) =>
-                    lastVersion === undefined
-                        ? hashToUnit(`shift\u0000${sessionKey}`) < settings.canaryShare
-                        : lastVersion === newVersion,
+                    !isCollecting(order, current, view.storeTime, settings) &&
+                    !view.isCollected(sessionKey) &&
+                    (lastVersion === undefined
+                        ? isCanarySession(sessionKey, settings)
+                        : lastVersion === newVersion),
                 newVersion,
             };
         case "full":
