Count the pace of streams as evidence against a version

Ruled out: answers far beyond the usual time as errors; the usual time drifts with the bad version. Change: time to the head and pace are tested apart, each against the old version.

--- a/src/node/forwarding/answer-sink.ts
+++ b/src/node/forwarding/answer-sink.ts
@@ -9,6 +9,8 @@
     hasBegun(): boolean;
     /** Id of the last event that the caller has. */
     lastEventId(): string | undefined;
+    /** Events of a stream that the caller has. */
+    eventCount(): number;
     /** Prepares a stream. The head of the first upstream is kept and goes out with the first event. */
     beginStream(status: number, headers: IncomingHttpHeaders): void;
     /** Begins a plain answer that is passed on as it arrives. */
@@ -69,6 +71,7 @@
     return {
         hasBegun: () => begun,
         lastEventId: () => cutter.lastEventId(),
+        eventCount: () => cutter.eventCount(),
         beginStream: (status, headers) => {
             cutter.discardPending();
             if (!begun) {
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -16,6 +16,14 @@
     readonly isFramed: boolean;
 }
 
+/** Times of one attempt. */
+export interface AttemptTiming {
+    /** Time to the head of the answer, milliseconds. */
+    readonly headMilliseconds: number | undefined;
+    /** Time between two events of a stream, milliseconds; `undefined` when there were too few. */
+    readonly paceMilliseconds: number | undefined;
+}
+
 export type AttemptResult =
     /** The caller has the whole answer. */
     | { readonly kind: "delivered"; readonly status: number }
--- a/src/node/forwarding/event-cutter.ts
+++ b/src/node/forwarding/event-cutter.ts
@@ -22,6 +22,8 @@
     push(chunk: Buffer): Buffer | undefined;
     /** Id of the last event passed on, or `undefined`. */
     lastEventId(): string | undefined;
+    /** Events passed on. */
+    eventCount(): number;
     /** Bytes of an event that is not complete. */
     pendingBytes(): number;
     /** Forgets the incomplete event of a broken stream. */
@@ -37,6 +39,7 @@
 export function createEventCutter(resumeFrom?: string): EventCutter {
     let pending = "";
     let lastId = resumeFrom;
+    let count = 0;
 
     const isNew = (event: string): boolean => {
         const id = idOf(event);
@@ -63,11 +66,13 @@
             const whole = pending.slice(0, end);
             pending = pending.slice(end + EVENT_END.length);
             const fresh = whole.split(EVENT_END).filter(isNew);
+            count += fresh.length;
             return fresh.length === 0
                 ? undefined
                 : Buffer.from(fresh.map(event => event + EVENT_END).join(""), "latin1");
         },
         lastEventId: () => lastId,
+        eventCount: () => count,
         pendingBytes: () => pending.length,
         discardPending: () => {
             pending = "";
--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -15,6 +15,7 @@
 import type { AttemptResult, BufferedAnswer } from "./attempt.js";
 import { giveUp, nextStep } from "./attempt-policy.js";
 import type { NextStep, RequestProgress } from "./attempt-policy.js";
+import type { AttemptTiming } from "./attempt.js";
 import type { LatencyReference } from "./latency-reference.js";
 import { escalationModel, firstModel } from "./model-choice.js";
 import type { ModelChoiceSettings } from "./model-choice.js";
@@ -70,7 +71,7 @@
         runner: Runner,
         stratum: string,
         succeeded: boolean,
-        latencyMilliseconds: number | undefined,
+        timing: AttemptTiming,
     ) => void;
 }
 
@@ -92,6 +93,9 @@
 /** Share of the retry budget that escalations leave for retries. */
 const ESCALATION_RESERVE = 0.25;
 
+/** Events from which on the pace of a stream means something. */
+const LEAST_PACED_EVENTS = 4;
+
 /** Time after which a refused caller should come back, seconds: about the time of one answer. */
 const RETRY_AFTER_SECONDS = 0.3;
 
@@ -126,6 +130,14 @@
     return head.session ?? head.attemptId ?? "";
 }
 
+/** Returns how many times the usual time the head, or an event, of an attempt took. */
+function slownessOf(latencies: LatencyReference, stratum: string, timing: AttemptTiming): number {
+    const headSlowness = latencies.record(stratum, timing.headMilliseconds ?? 0);
+    return timing.paceMilliseconds === undefined
+        ? headSlowness
+        : Math.max(headSlowness, latencies.record(`${stratum}\u0000pace`, timing.paceMilliseconds));
+}
+
 /** Sends an answer of the router itself, unless a part of another one is out. */
 export function sendOwnAnswer(
     response: ServerResponse,
@@ -235,6 +247,7 @@
             const { runner } = choice;
             const usedModel = model;
             const sentAt = clock.now();
+            const eventsBefore = sink.eventCount();
             const stratum = `${route.name}\u0000${usedModel ?? ""}`;
             let headMilliseconds: number | undefined;
             let headConfidence: number | undefined;
@@ -301,7 +314,15 @@
                 },
             });
             load.end();
-            recordResult(result, runner, stratum, headMilliseconds);
+            const endedAt = clock.now();
+            const events = sink.eventCount() - eventsBefore;
+            recordResult(result, runner, stratum, {
+                headMilliseconds,
+                paceMilliseconds:
+                    headMilliseconds === undefined || events < LEAST_PACED_EVENTS
+                        ? undefined
+                        : (endedAt - sentAt - headMilliseconds) / events,
+            });
             trace.add("attempts", "An attempt ended.", {
                 upstream: runner.entry.id,
                 model: usedModel,
@@ -309,7 +330,7 @@
                 reason: "reason" in result ? result.reason : undefined,
                 confidence: headConfidence,
                 headMilliseconds: headMilliseconds === undefined ? undefined : Math.round(headMilliseconds),
-                milliseconds: Math.round(clock.now() - sentAt),
+                milliseconds: Math.round(endedAt - sentAt),
             });
             return result;
         };
@@ -318,15 +339,14 @@
             result: AttemptResult,
             runner: Runner,
             stratum: string,
-            headMilliseconds: number | undefined,
+            timing: AttemptTiming,
         ): void => {
             const now = clock.now();
             switch (result.kind) {
                 case "delivered":
                 case "doubted": {
-                    const slowness = environment.latencies.record(stratum, headMilliseconds ?? 0);
-                    runner.health.recordSuccess(slowness);
-                    environment.recordEvidence(runner, stratum, true, headMilliseconds);
+                    runner.health.recordSuccess(slownessOf(environment.latencies, stratum, timing));
+                    environment.recordEvidence(runner, stratum, true, timing);
                     break;
                 }
                 case "not-run":
@@ -339,7 +359,7 @@
                 case "lost":
                     excluded.add(runner.entry.id);
                     runner.health.recordFailure(now);
-                    environment.recordEvidence(runner, stratum, false, headMilliseconds);
+                    environment.recordEvidence(runner, stratum, false, timing);
                     lastFailure = result.kind === "failed" ? result.answer : lastFailure;
                     break;
                 case "ended":
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -23,6 +23,12 @@
 const canary: ShiftState = { orderRevision: 9, version: "v2", stage: "canary", startedAt: 1000 };
 const view = { storeTime: 5000, isCollected: () => false };
 
+function timing(headMilliseconds: number, paceMilliseconds?: number) {
+    return { headMilliseconds, paceMilliseconds };
+}
+
+const quick = timing(100);
+
 function collect(
     newErrors: number,
     newAnswers: number,
@@ -32,7 +38,7 @@
     let table: EvidenceTable = {};
     const add = (isNew: boolean, errors: number, answers: number): void => {
         for (let index = 0; index < answers; index++) {
-            table = countEvidence(table, "reports", isNew, index >= errors, 100);
+            table = countEvidence(table, "reports", isNew, index >= errors, quick);
         }
     };
     add(true, newErrors, newAnswers);
@@ -104,8 +110,18 @@
 test("a version that is eight times as slow is found", () => {
     let table: EvidenceTable = {};
     for (let index = 0; index < 15; index++) {
-        table = countEvidence(table, "reports", true, true, 700 + 20 * index);
-        table = countEvidence(table, "reports", false, true, 80 + 5 * index);
+        table = countEvidence(table, "reports", true, true, timing(700 + 20 * index));
+        table = countEvidence(table, "reports", false, true, timing(80 + 5 * index));
+    }
+    assert.equal(assessEvidence(table).isBad, true);
+});
+
+test("a version whose streams crawl is found although they begin in time", () => {
+    let table: EvidenceTable = {};
+    for (let index = 0; index < 30; index++) {
+        table = countEvidence(table, "reports", true, true, timing(100, index % 2 === 0 ? 400 : 50));
+        table = countEvidence(table, "reports", false, true, timing(100, 40 + index));
+        table = countEvidence(table, "reports", false, true, timing(100, 70 - index));
     }
     assert.equal(assessEvidence(table).isBad, true);
 });
@@ -191,8 +207,8 @@
     await pass(context.mock.timers, 1000);
     assert.equal(report(), "canary");
     for (let index = 0; index < 20; index++) {
-        coordinators[index % 2]!.record("engines", "v2", "reports", true, 100);
-        coordinators[index % 2]!.record("engines", "v1", "reports", true, 100);
+        coordinators[index % 2]!.record("engines", "v2", "reports", true, quick);
+        coordinators[index % 2]!.record("engines", "v1", "reports", true, quick);
     }
     await pass(context.mock.timers, 18_000);
     assert.equal(report(), "completed");
@@ -205,9 +221,9 @@
     await lifecycle.start();
     await pass(context.mock.timers, 1000);
     for (let index = 0; index < 16; index++) {
-        coordinators[index % 2]!.record("engines", "v2", "reports", index % 4 === 0, 100);
-        coordinators[index % 2]!.record("engines", "v1", "reports", true, 100);
-        coordinators[index % 2]!.record("engines", "v1", "reports", true, 100);
+        coordinators[index % 2]!.record("engines", "v2", "reports", index % 4 === 0, quick);
+        coordinators[index % 2]!.record("engines", "v1", "reports", true, quick);
+        coordinators[index % 2]!.record("engines", "v1", "reports", true, quick);
     }
     await pass(context.mock.timers, 3000);
     assert.equal(report(), "rolled-back");
@@ -237,8 +253,8 @@
     await pass(context.mock.timers, 1000);
     setUp(false);
     for (let index = 0; index < 20; index++) {
-        coordinators[0]!.record("engines", "v2", "reports", false, 100);
-        coordinators[0]!.record("engines", "v1", "reports", true, 100);
+        coordinators[0]!.record("engines", "v2", "reports", false, quick);
+        coordinators[0]!.record("engines", "v1", "reports", true, quick);
     }
     await pass(context.mock.timers, 2000);
     assert.equal(coordinators[0]!.rule("engines").isAllowed("v2"), false);
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "../common/clock.js";
 import { hashToUnit } from "../common/hash.js";
+import type { AttemptTiming } from "../forwarding/attempt.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
 import type { RowReplica } from "../replica/row-replica.js";
@@ -23,7 +24,7 @@
         version: string,
         stratum: string,
         succeeded: boolean,
-        latencyMilliseconds: number | undefined,
+        timing: AttemptTiming,
     ): void;
     states(): ReadonlyMap<string, ShiftState>;
 }
@@ -53,6 +54,9 @@
 /** Time after a failed write, milliseconds. */
 const WRITE_RETRY_MILLISECONDS = 500;
 
+/** Logarithm of the likelihood ratio of a slow-down from which on a node reports its evidence. */
+const SUSPICIOUS_LOG_RATIO = 0.5;
+
 /** Share of the time to the full stage at which nodes without errors report their evidence. */
 const FINAL_EVIDENCE_SHARE = 0.85;
 
@@ -236,8 +240,8 @@
     };
 
     const reportEvidence = (shift: LocalShift, progress: number): boolean => {
-        const { answers, errors } = assessEvidence(shift.evidence);
-        const hasNewErrors = errors > shift.reportedErrors;
+        const { answers, errors, latencyLogRatio } = assessEvidence(shift.evidence);
+        const hasNewErrors = errors > shift.reportedErrors || latencyLogRatio > SUSPICIOUS_LOG_RATIO;
         const isFinal =
             !shift.hasReportedAnswers && answers > 0 && progress >= settings.fullAt * FINAL_EVIDENCE_SHARE;
         const isDue = clock.now() - shift.reportedAt >= EVIDENCE_INTERVAL_MILLISECONDS;
@@ -351,14 +355,14 @@
                 shift.sessions.add(sessionKey);
             }
         },
-        record: (service, version, stratum, succeeded, latencyMilliseconds) => {
+        record: (service, version, stratum, succeeded, timing) => {
             const shift = shifts.get(service);
             const stage = shift?.state?.stage;
             if (shift === undefined || (stage !== "canary" && stage !== "full")) {
                 return;
             }
             const isNew = version === shift.order.version;
-            shift.evidence = countEvidence(shift.evidence, stratum, isNew, succeeded, latencyMilliseconds);
+            shift.evidence = countEvidence(shift.evidence, stratum, isNew, succeeded, timing);
         },
         states: () =>
             new Map(
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -1,4 +1,5 @@
 /** Counts answers of the new and the old version of a service and tests whether the new one is worse. */
+import type { AttemptTiming } from "../forwarding/attempt.js";
 import { addCounters, countAnswer, NO_COUNTERS } from "../rollout/counters.js";
 import type { Counters } from "../rollout/counters.js";
 import { estimateDifference, logRatioOfErrors, logRatioOfLoss } from "../rollout/sequential-test.js";
@@ -16,7 +17,7 @@
 const ERROR_SLACK_RATIO = 1.6;
 
 /** Slow-down, as a difference of logarithms, that is not a reason to go back. */
-const LATENCY_SLACK = Math.log(2);
+const LATENCY_SLACK = Math.log(1.5);
 
 /** Slow-down for which the test is most sensitive, as a difference of logarithms. */
 const LATENCY_SCALE = Math.log(3);
@@ -29,21 +30,37 @@
 
 const NO_STRATUM: StratumCounters = { version: NO_COUNTERS, reference: NO_COUNTERS };
 
-export function countEvidence(
+/** Marks the strata that hold the pace of streams in place of the time to their head. */
+const PACE_SUFFIX = "\u0000pace";
+
+function countIn(
     table: EvidenceTable,
     stratum: string,
     isNew: boolean,
     succeeded: boolean,
-    latencyMilliseconds: number | undefined,
+    milliseconds: number | undefined,
 ): EvidenceTable {
     const counters = table[stratum] ?? NO_STRATUM;
     const side = isNew ? "version" : "reference";
     return {
         ...table,
-        [stratum]: { ...counters, [side]: countAnswer(counters[side], succeeded, latencyMilliseconds) },
+        [stratum]: { ...counters, [side]: countAnswer(counters[side], succeeded, milliseconds) },
     };
 }
 
+export function countEvidence(
+    table: EvidenceTable,
+    stratum: string,
+    isNew: boolean,
+    succeeded: boolean,
+    { headMilliseconds, paceMilliseconds }: AttemptTiming,
+): EvidenceTable {
+    const counted = countIn(table, stratum, isNew, succeeded, headMilliseconds);
+    return paceMilliseconds === undefined
+        ? counted
+        : countIn(counted, stratum + PACE_SUFFIX, isNew, true, paceMilliseconds);
+}
+
 /** Adds the evidence of several nodes. */
 export function mergeEvidence(tables: readonly EvidenceTable[]): EvidenceTable {
     const merged: Record<string, StratumCounters> = {};
@@ -68,15 +85,20 @@
     readonly latencyLogRatio: number;
 }
 
-export function assessEvidence(table: EvidenceTable): EvidenceAssessment {
-    const strata: readonly Stratum[] = Object.values(table);
-    const total = strata.reduce((sum, { version }) => addCounters(sum, version), NO_COUNTERS);
-    const errorLogRatio = logRatioOfErrors(strata, ERROR_SLACK_RATIO);
+function latencyLogRatioOf(strata: readonly Stratum[]): number {
     const latency = estimateDifference(strata, "logLatency");
-    const latencyLogRatio =
-        latency === undefined
-            ? 0
-            : logRatioOfLoss(latency.difference - LATENCY_SLACK, latency.variance, LATENCY_SCALE);
+    return latency === undefined
+        ? 0
+        : logRatioOfLoss(latency.difference - LATENCY_SLACK, latency.variance, LATENCY_SCALE);
+}
+
+export function assessEvidence(table: EvidenceTable): EvidenceAssessment {
+    const entries = Object.entries(table);
+    const heads = entries.filter(([key]) => !key.endsWith(PACE_SUFFIX)).map(([, stratum]) => stratum);
+    const paces = entries.filter(([key]) => key.endsWith(PACE_SUFFIX)).map(([, stratum]) => stratum);
+    const total = heads.reduce((sum, { version }) => addCounters(sum, version), NO_COUNTERS);
+    const errorLogRatio = logRatioOfErrors(heads, ERROR_SLACK_RATIO);
+    const latencyLogRatio = Math.max(latencyLogRatioOf(heads), latencyLogRatioOf(paces));
     const isErroneous = total.errors >= LEAST_ERRORS && errorLogRatio >= ALARM_LOG_RATIO;
     return {
         isBad: isErroneous || latencyLogRatio >= ALARM_LOG_RATIO,
