--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -41,7 +41,15 @@
 
 /** How a request ended, for metrics and logs. */
 export interface ExchangeEnd {
-    readonly outcome: "delivered" | "refused" | "failed" | "passed-failure" | "timed-out" | "caller-left";
+    readonly outcome:
+        | "delivered"
+        | "refused"
+        | "failed"
+        /** The caller received a part of an answer and then the end of its connection. */
+        | "cut"
+        | "passed-failure"
+        | "timed-out"
+        | "caller-left";
     readonly status: number;
     readonly attempts: number;
     readonly reason: string | undefined;
@@ -66,6 +74,8 @@
     readonly modelChoice: ModelChoiceSettings;
     /** Requests a second that this node may send to one cold upstream of a service. */
     readonly coldAllowance: (service: Service, runner: Runner) => number;
+    /** Counts an ended attempt. */
+    readonly countAttempt: (service: string, model: string | undefined, result: string) => void;
     /** Takes the outcome of an attempt as evidence about the upstream's version. */
     readonly recordEvidence: (
         runner: Runner,
@@ -316,6 +326,7 @@
             load.end();
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
+            environment.countAttempt(service.name, usedModel, result.kind);
             recordResult(result, runner, stratum, {
                 headMilliseconds,
                 paceMilliseconds:
@@ -420,6 +431,9 @@
                     return { outcome: "passed-failure", status: lastFailure!.status, reason: undefined };
                 case "fail":
                     own(HTTP_BAD_GATEWAY, step.reason);
+                    if (sink.hasBegun()) {
+                        return { outcome: "cut", status: response.statusCode, reason: step.reason };
+                    }
                     return { outcome: "failed", status: HTTP_BAD_GATEWAY, reason: step.reason };
                 case "time-over":
                     own(HTTP_GATEWAY_TIMEOUT, "the time of the request is over");
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -252,6 +252,8 @@
             service.coldRequestsPerSecond === 0
                 ? Infinity
                 : nodes.shareOf(runner.entry.id, service.coldRequestsPerSecond * config.cold.factor),
+        countAttempt: (service, model, result) =>
+            metrics.count("attempts_total", { service, model: model ?? "", result }),
         recordEvidence: (runner, stratum, succeeded, latency) =>
             shifts.record(runner.entry.service, runner.entry.version, stratum, succeeded, latency),
     });
