Share ejected upstreams between nodes

Change: load reports name the upstreams that a node ejected; one that two other nodes ejected is avoided.

--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -208,6 +208,7 @@
                 neededTokens: head.promptTokens + expectedOutputTokens(head),
                 capacityTokens: service.engineTokens,
                 loadOf: runner => environment.loads.total(runner.entry.id, clock.now()),
+                ejectionsOf: runner => environment.loads.ejections(runner.entry.id, clock.now()),
                 prefersVersion: environment.versionsOf(service.name, sessionKey),
                 excluded,
                 coldAllowance: runner => environment.coldAllowance(service, runner),
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -205,6 +205,11 @@
         node: config.node.id,
         ...splitEndpoint(config.loads.listen),
         board: loads,
+        ejected: () =>
+            runners
+                .all()
+                .filter(runner => runner.health.isEjected(clock.now()))
+                .map(runner => runner.entry.id),
         peers: () =>
             nodes
                 .entries()
--- a/src/node/runners/__tests__/load-board.spec.ts
+++ b/src/node/runners/__tests__/load-board.spec.ts
@@ -25,7 +25,7 @@
 
 test("reports of other nodes count until they are old", () => {
     const board = createLoadBoard();
-    board.report("n2", new Map([["a", { pendingTokens: 10, requests: 2, heldTokens: 20 }]]), 1000);
+    board.report("n2", new Map([["a", { pendingTokens: 10, requests: 2, heldTokens: 20 }]]), [], 1000);
     board.begin("a", 5, 5);
     assert.equal(board.total("a", 2000).requests, 3);
     assert.equal(board.total("a", 2600).requests, 1);
@@ -33,8 +33,8 @@
 
 test("a new report replaces the one before", () => {
     const board = createLoadBoard();
-    board.report("n2", new Map([["a", { pendingTokens: 10, requests: 2, heldTokens: 20 }]]), 1000);
-    board.report("n2", new Map(), 1100);
+    board.report("n2", new Map([["a", { pendingTokens: 10, requests: 2, heldTokens: 20 }]]), [], 1000);
+    board.report("n2", new Map(), [], 1100);
     assert.deepEqual(board.total("a", 1100), NO_LOAD);
 });
 
@@ -51,3 +51,14 @@
     assert.equal(told.size, 86);
     assert.deepEqual(nextPeers(peers.slice(0, 8), 3, 16).chosen, peers.slice(0, 8));
 });
+
+test("ejections of other nodes count while they are reported", () => {
+    const board = createLoadBoard();
+    board.report("n2", new Map(), ["a"], 1000);
+    board.report("n3", new Map(), ["a", "b"], 1000);
+    assert.equal(board.ejections("a", 1500), 2);
+    assert.equal(board.ejections("b", 1500), 1);
+    board.report("n2", new Map(), [], 1600);
+    assert.equal(board.ejections("a", 1700), 1);
+    assert.equal(board.ejections("a", 2600), 0);
+});
--- a/src/node/runners/__tests__/runner-choice.spec.ts
+++ b/src/node/runners/__tests__/runner-choice.spec.ts
@@ -48,6 +48,20 @@
     assert.equal(idOf(chooseRunner([failing], createContext())), "a");
 });
 
+test("an upstream that two other nodes ejected is avoided", () => {
+    const ejections = (count: number) => (runner: Runner) => (runner.entry.id === "a" ? count : 0);
+    const loadOf = loadsOf({ b: { requests: 3 } });
+    assert.equal(
+        idOf(chooseRunner([first, second], createContext({ loadOf, ejectionsOf: ejections(1) }))),
+        "a",
+    );
+    assert.equal(
+        idOf(chooseRunner([first, second], createContext({ loadOf, ejectionsOf: ejections(2) }))),
+        "b",
+    );
+    assert.equal(idOf(chooseRunner([first], createContext({ loadOf, ejectionsOf: ejections(2) }))), "a");
+});
+
 test("a cold upstream gets no more than its allowance", () => {
     const cold = createTestRunner("a", {}, 20_000);
     const context = createContext({ coldAllowance: () => 2 });
@@ -87,7 +101,7 @@
             if (isShared) {
                 boards.forEach((board, index) => {
                     if (index !== node) {
-                        boards[node]!.report(String(index), new Map(board.own()), now);
+                        boards[node]!.report(String(index), new Map(board.own()), [], now);
                     }
                 });
             }
--- a/src/node/runners/__tests__/runners.ts
+++ b/src/node/runners/__tests__/runners.ts
@@ -32,6 +32,7 @@
         neededTokens: 0,
         capacityTokens: undefined,
         loadOf: () => NO_LOAD,
+        ejectionsOf: () => 0,
         prefersVersion: undefined,
         excluded: new Set(),
         coldAllowance: () => Infinity,
--- a/src/node/runners/load-board.ts
+++ b/src/node/runners/load-board.ts
@@ -28,8 +28,10 @@
 export interface LoadBoard {
     /** Adds a request that is being sent. */
     begin(upstream: string, pendingTokens: number, heldTokens: number): LoadEntry;
-    /** Takes over what another node says. */
-    report(node: string, loads: NodeLoads, now: number): void;
+    /** Takes over what another node says: its loads and the upstreams that it ejected. */
+    report(node: string, loads: NodeLoads, ejected: readonly string[], now: number): void;
+    /** Number of other nodes that ejected an upstream. */
+    ejections(upstream: string, now: number): number;
     /** Load of an upstream over all nodes that reported lately. */
     total(upstream: string, now: number): Load;
     /** Loads that this node causes; upstreams without any are left out. */
@@ -41,6 +43,13 @@
 /** Time after which the report of a node no longer counts, milliseconds: a few intervals between reports. */
 const REPORT_LIFE_MILLISECONDS = 1500;
 
+interface NodeReport {
+    readonly loads: NodeLoads;
+    readonly ejected: ReadonlySet<string>;
+    /** Monotonic time of arrival. */
+    readonly at: number;
+}
+
 function add(first: Load, second: Load): Load {
     return {
         pendingTokens: first.pendingTokens + second.pendingTokens,
@@ -51,7 +60,7 @@
 
 export function createLoadBoard(): LoadBoard {
     const own = new Map<string, Load>();
-    const reports = new Map<string, { readonly loads: NodeLoads; readonly at: number }>();
+    const reports = new Map<string, NodeReport>();
     let revision = 0;
 
     const change = (upstream: string, difference: Load): void => {
@@ -85,8 +94,15 @@
                 },
             };
         },
-        report: (node, loads, now) => {
-            reports.set(node, { loads, at: now });
+        report: (node, loads, ejected, now) => {
+            reports.set(node, { loads, ejected: new Set(ejected), at: now });
+        },
+        ejections: (upstream, now) => {
+            let count = 0;
+            for (const { ejected, at } of reports.values()) {
+                count += at + REPORT_LIFE_MILLISECONDS >= now && ejected.has(upstream) ? 1 : 0;
+            }
+            return count;
         },
         total: (upstream, now) => {
             let load = own.get(upstream) ?? NO_LOAD;
--- a/src/node/runners/load-reports.ts
+++ b/src/node/runners/load-reports.ts
@@ -17,14 +17,20 @@
 /** Largest datagram that is read, bytes. */
 const MAXIMUM_DATAGRAM_BYTES = 8192;
 
-/** Node, and for each upstream its id, pending tokens, requests and held tokens. */
-type WireReport = readonly [node: string, loads: readonly (readonly [string, number, number, number])[]];
+/** Node, for each upstream its id, pending tokens, requests and held tokens, and the ids of ejected upstreams. */
+type WireReport = readonly [
+    node: string,
+    loads: readonly (readonly [string, number, number, number])[],
+    ejected: readonly string[],
+];
 
 export interface LoadReportOptions {
     readonly node: string;
     readonly address: string;
     readonly port: number;
     readonly board: LoadBoard;
+    /** Upstreams that this node ejected. */
+    readonly ejected: () => readonly string[];
     /** IP addresses of the nodes to tell; all listen on the same port. */
     readonly peers: () => readonly string[];
     readonly clock: Clock;
@@ -32,12 +38,12 @@
     readonly logger: Logger;
 }
 
-function encode(node: string, loads: ReadonlyMap<string, Load>): string {
+function encode(node: string, loads: ReadonlyMap<string, Load>, ejected: readonly string[]): string {
     const entries = [...loads].map(
         ([id, { pendingTokens, requests, heldTokens }]) =>
             [id, Math.round(pendingTokens), requests, Math.round(heldTokens)] as const,
     );
-    const report: WireReport = [node, entries];
+    const report: WireReport = [node, entries, ejected];
     return JSON.stringify(report);
 }
 
@@ -67,14 +73,14 @@
             return;
         }
         try {
-            const [node, entries] = JSON.parse(message.toString()) as WireReport;
+            const [node, entries, ejected] = JSON.parse(message.toString()) as WireReport;
             const loads = new Map(
                 entries.map(([id, pendingTokens, requests, heldTokens]): [string, Load] => [
                     id,
                     { pendingTokens, requests, heldTokens },
                 ]),
             );
-            board.report(node, loads, options.clock.now());
+            board.report(node, loads, ejected, options.clock.now());
         }
         catch (error) {
             logger.warn("Dropped a datagram that is no load report.", { error: (error as Error).message });
@@ -85,14 +91,15 @@
     const send = (): void => {
         const peers = options.peers();
         const isInTurn = peers.length > PEERS_PER_INTERVAL;
+        const ejected = options.ejected();
+        const hasNews = board.own().size > 0 || ejected.length > 0;
         idleIntervals = board.revision === sentRevision ? idleIntervals + 1 : 0;
-        const isRepeat =
-            idleIntervals > 0 && board.own().size > 0 && idleIntervals % REPEAT_AFTER_INTERVALS === 0;
-        if (idleIntervals > 0 && !isRepeat && !(isInTurn && board.own().size > 0)) {
+        const isRepeat = idleIntervals > 0 && hasNews && idleIntervals % REPEAT_AFTER_INTERVALS === 0;
+        if (idleIntervals > 0 && !isRepeat && !(isInTurn && hasNews)) {
             return;
         }
         sentRevision = board.revision;
-        const datagram = encode(options.node, board.own());
+        const datagram = encode(options.node, board.own(), ejected);
         const turn = nextPeers(peers, cursor, PEERS_PER_INTERVAL);
         cursor = turn.cursor;
         for (const peer of turn.chosen) {
--- a/src/node/runners/runner-choice.ts
+++ b/src/node/runners/runner-choice.ts
@@ -22,6 +22,8 @@
     /** Memory of one upstream, in tokens; `undefined` when it has no such limit. */
     readonly capacityTokens: number | undefined;
     readonly loadOf: (runner: Runner) => Load;
+    /** Number of other nodes that ejected the upstream. */
+    readonly ejectionsOf: (runner: Runner) => number;
     /** Whether the request should run on a version, if possible; `undefined` when all are alike. */
     readonly prefersVersion: ((version: string) => boolean) | undefined;
     /** Upstreams that this request already used. */
@@ -69,6 +71,13 @@
     return runner.recentSends.filter(time => time > since).length < requestsPerSecond;
 }
 
+/** Other nodes that must have ejected an upstream before this one avoids it; one node's network may be at fault. */
+const EJECTIONS_TO_AVOID = 2;
+
+function isAvoided(runner: Runner, context: ChoiceContext): boolean {
+    return runner.health.isAvoided(context.now) || context.ejectionsOf(runner) >= EJECTIONS_TO_AVOID;
+}
+
 /** Returns the delay that the request can expect at an upstream, milliseconds. */
 function expectedDelay(runner: Runner, context: ChoiceContext, isPreferred: boolean): number {
     const load = context.loadOf(runner);
@@ -80,7 +89,7 @@
     return (
         work * Math.max(1, runner.health.slowness()) +
         FAILURE_MILLISECONDS * runner.health.failureShare() +
-        (runner.health.isAvoided(context.now) ? AVOIDED_MILLISECONDS : 0) +
+        (isAvoided(runner, context) ? AVOIDED_MILLISECONDS : 0) +
         (runner.coldUntil > context.now ? COLD_MILLISECONDS : 0) +
         (isFull ? FULL_MILLISECONDS : 0) +
         context.random() * RANDOM_MILLISECONDS
@@ -114,7 +123,7 @@
         prefersVersion === undefined
             ? allowed
             : allowed.filter(runner => prefersVersion(runner.entry.version));
-    const sound = ofVersion.filter(runner => !runner.health.isAvoided(context.now));
+    const sound = ofVersion.filter(runner => !isAvoided(runner, context));
     const candidates = sound.length > 0 ? sound : ofVersion.length > 0 ? ofVersion : allowed;
     const preferred =
         context.affinityKey === undefined ? undefined : preferredRunner(candidates, context.affinityKey);
--- a/src/node/runners/runner-health.ts
+++ b/src/node/runners/runner-health.ts
@@ -7,6 +7,8 @@
     slowness(): number;
     /** Whether requests should go elsewhere for now, if there is an elsewhere. */
     isAvoided(now: number): boolean;
+    /** Whether failures of its requests made this node eject the upstream for now. */
+    isEjected(now: number): boolean;
     recordSuccess(slowness: number): void;
     /** Records a request that failed or hung. */
     recordFailure(now: number): void;
@@ -34,12 +36,14 @@
     let failureShare = 0;
     let slowness = 1;
     let failuresInRow = 0;
-    let avoidedUntil = 0;
+    let ejectedUntil = 0;
+    let rejectedUntil = 0;
 
     return {
         failureShare: () => failureShare,
         slowness: () => slowness,
-        isAvoided: now => now < avoidedUntil,
+        isAvoided: now => now < ejectedUntil || now < rejectedUntil,
+        isEjected: now => now < ejectedUntil,
         recordSuccess: value => {
             failureShare *= 1 - SMOOTHING;
             slowness += SMOOTHING * (Math.min(10, value) - slowness);
@@ -50,14 +54,14 @@
             failuresInRow += 1;
             if (failuresInRow >= EJECTING_FAILURES || failureShare >= EJECTING_FAILURE_SHARE) {
                 const ejection = EJECTION_MILLISECONDS * 2 ** Math.max(0, failuresInRow - EJECTING_FAILURES);
-                avoidedUntil = Math.max(
-                    avoidedUntil,
+                ejectedUntil = Math.max(
+                    ejectedUntil,
                     now + Math.min(LONGEST_EJECTION_MILLISECONDS, ejection),
                 );
             }
         },
         recordRejection: now => {
-            avoidedUntil = Math.max(avoidedUntil, now + REJECTION_MILLISECONDS);
+            rejectedUntil = now + REJECTION_MILLISECONDS;
         },
     };
 }
