--- a/src/node/forwarding/caller-server.ts
+++ b/src/node/forwarding/caller-server.ts
@@ -2,11 +2,12 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Clock } from "../common/clock.js";
+import { addListener } from "../common/listener.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { RequestLog, RequestTrace } from "../logging/request-log.js";
 import type { Route, Workspace } from "../routes/entities.js";
 import type { RouteTable } from "../routes/route-table.js";
-import { sendOwnAnswer } from "./exchange.js";
+import { sendOwnAnswer } from "./own-answer.js";
 import type { ExchangeEnd, MatchedRequest } from "./exchange.js";
 import type { HeaderCodec, RequestHead } from "./protocol.js";
 
@@ -43,9 +44,6 @@
 /** Time between looks at connections whose headers are overdue, milliseconds. */
 const CHECK_INTERVAL_MILLISECONDS = 500;
 
-/** Connections that may wait to be accepted. */
-const LISTEN_BACKLOG = 1024;
-
 /** Time after which a caller should come back to a node that knows no configuration, seconds. */
 const UNCONFIGURED_RETRY_SECONDS = 0.5;
 
@@ -268,19 +266,7 @@
         listener,
     );
 
-    options.lifecycle.add({
-        name: "caller listener",
-        start: async () => {
-            await new Promise<void>((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(options.port, options.address, LISTEN_BACKLOG, resolve);
-            });
-            return () => {
-                server.close();
-                server.closeAllConnections();
-            };
-        },
-    });
+    addListener("caller listener", server, options, options.lifecycle);
 
     return {
         openRequests: () => open,
--- a/src/node/forwarding/exchange.ts
+++ b/src/node/forwarding/exchange.ts
@@ -1,5 +1,5 @@
 /** Serves one request of a caller: attempts at upstreams until it has its answer or an end. */
-import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { RequestTrace } from "../logging/request-log.js";
@@ -19,7 +19,15 @@
 import type { LatencyReference } from "./latency-reference.js";
 import { escalationModel, firstModel } from "./model-choice.js";
 import type { ModelChoiceSettings } from "./model-choice.js";
+import { sendOwnAnswer } from "./own-answer.js";
 import type { HeaderCodec, RequestHead } from "./protocol.js";
+import {
+    affinityKeyOf,
+    expectedOutputTokens,
+    relativeCost,
+    sessionKeyOf,
+    sharedTokens,
+} from "./request-shape.js";
 import type { RetryBudget } from "./retry-budget.js";
 
 /** A request that was read and matched to a route. */
@@ -113,33 +121,6 @@
 const HTTP_UNAVAILABLE = 503;
 const HTTP_GATEWAY_TIMEOUT = 504;
 
-/** Key of the prompt prefix that a request shares with others: its last part but one. */
-function affinityKeyOf(head: RequestHead, model: string | undefined): string | undefined {
-    const shared = head.promptParts.at(-2) ?? head.promptParts.at(-1);
-    return shared === undefined ? undefined : `${model ?? ""}\u0000${shared.id}`;
-}
-
-/** Tokens of the prompt that other requests share. */
-function sharedTokens(head: RequestHead): number {
-    return head.promptParts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
-}
-
-function expectedOutputTokens(head: RequestHead): number {
-    return head.expectedOutputTokens ?? head.maximumOutputTokens;
-}
-
-/** Work of a model relative to the most expensive one of the service, as far as the prices tell. */
-function relativeCost(service: Service, model: string | undefined): number {
-    const cost = model === undefined ? undefined : service.modelCosts.get(model);
-    const highest = Math.max(...service.modelCosts.values());
-    return cost === undefined || highest <= 0 ? 1 : cost / highest;
-}
-
-/** Key by which a request's version and service are drawn: its session, or itself when it has none. */
-export function sessionKeyOf(head: RequestHead): string {
-    return head.session ?? head.attemptId ?? "";
-}
-
 /** Returns how many times the usual time the head, or an event, of an attempt took. */
 function slownessOf(latencies: LatencyReference, stratum: string, timing: AttemptTiming): number {
     const headSlowness = latencies.record(stratum, timing.headMilliseconds ?? 0);
@@ -148,31 +129,6 @@
         : Math.max(headSlowness, latencies.record(`${stratum}\u0000pace`, timing.paceMilliseconds));
 }
 
-/** Sends an answer of the router itself, unless a part of another one is out. */
-export function sendOwnAnswer(
-    response: ServerResponse,
-    codec: HeaderCodec,
-    attemptId: string | undefined,
-    status: number,
-    message: string,
-    retryAfterSeconds?: number,
-): void {
-    if (response.headersSent) {
-        // The channel closes without the end of the answer, so that it cannot look complete.
-        response.destroy();
-        return;
-    }
-    const body = JSON.stringify({ error: message });
-    const headers: OutgoingHttpHeaders = {
-        ...codec.encodeOwnAnswer(attemptId),
-        ...(retryAfterSeconds === undefined ? {} : { "retry-after": String(retryAfterSeconds) }),
-        "content-type": "application/json",
-        "content-length": Buffer.byteLength(body),
-    };
-    response.writeHead(status, headers);
-    response.end(body);
-}
-
 export function createExchanges(environment: ExchangeEnvironment) {
     const { clock, codec } = environment;
 
--- a/src/node/metrics/registry.ts
+++ b/src/node/metrics/registry.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import { build } from "hdr-histogram-js";
 import type { Histogram } from "hdr-histogram-js";
+import { addListener } from "../common/listener.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 
 export type Labels = Readonly<Record<string, string>>;
@@ -95,17 +96,5 @@
         response.setHeader("content-type", "text/plain; version=0.0.4");
         response.end(registry.text());
     });
-    lifecycle.add({
-        name: "metrics listener",
-        start: async () => {
-            await new Promise<void>((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(port, address, resolve);
-            });
-            return () => {
-                server.close();
-                server.closeAllConnections();
-            };
-        },
-    });
+    addListener("metrics listener", server, { address, port }, lifecycle);
 }
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -3,10 +3,12 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { systemClock } from "../common/clock.js";
 import { hashToUnit } from "../common/hash.js";
+import { addListener } from "../common/listener.js";
 import { createSystemRandom } from "../common/random.js";
 import { createCallerServer } from "../forwarding/caller-server.js";
-import { createExchanges, sessionKeyOf } from "../forwarding/exchange.js";
+import { createExchanges } from "../forwarding/exchange.js";
 import { createLatencyReference } from "../forwarding/latency-reference.js";
+import { sessionKeyOf } from "../forwarding/request-shape.js";
 import { createRetryBudget } from "../forwarding/retry-budget.js";
 import { createLifecycle } from "../lifecycle/lifecycle.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
@@ -67,24 +69,11 @@
 const STDOUT_DESCRIPTOR = 1;
 
 function serveReadiness(listen: string, isReady: () => boolean, lifecycle: Lifecycle): void {
-    const { address, port } = splitEndpoint(listen);
     const server = createServer((_request, response) => {
         response.statusCode = isReady() ? 200 : 503;
         response.end();
     });
-    lifecycle.add({
-        name: "readiness listener",
-        start: async () => {
-            await new Promise<void>((resolve, reject) => {
-                server.once("error", reject);
-                server.listen(port, address, resolve);
-            });
-            return () => {
-                server.close();
-                server.closeAllConnections();
-            };
-        },
-    });
+    addListener("readiness listener", server, splitEndpoint(listen), lifecycle);
 }
 
 export function createRouter(initialConfig: ResolvedRouterConfig, adapter: PlatformAdapter): Router {
