Return admission credits before a node announces that it left

A node that stops as planned became idle, announced that it had left, and so was no longer counted by the owners. Its unused allowance was returned only later, in the stop of the admission part; in between its renewal brought one credit back, and the owner had granted the whole cold budget to another node (engine-1, 3 credits of 2).

Change: `handBack` of admission precedes the announcement; from then on the node takes and asks for nothing. New test: "a node that handed its credits back asks for none and takes none".

--- a/src/node/admission/__tests__/admission.spec.ts
+++ b/src/node/admission/__tests__/admission.spec.ts
@@ -10,6 +10,8 @@
 import { createTable } from "../../tables/table.js";
 import { createTicker } from "../../ticker/ticker.js";
 import { createAdmission } from "../create-admission.js";
+import { createHolder } from "../holder.js";
+import type { HolderAction } from "../holder.js";
 import { NO_EVIDENCE, isWarm, observe } from "../evidence.js";
 import type { Evidence, ObservationRun } from "../evidence.js";
 import { decodeReply, decodeRequest, encodeReply, encodeRequest } from "../messages.js";
@@ -242,3 +244,40 @@
     assert.equal(outcomeOf({ ...observation, isCold: true }, 1500), "slow");
     assert.equal(outcomeOf({ ...observation, isCold: false }, 1500), "fast");
 });
+
+// Guards against a node that announces that it left, and so is no longer counted, while it holds credits on.
+test("a node that handed its credits back asks for none and takes none", () => {
+    const holder = createHolder({
+        self: { id: "a", incarnation: 1 },
+        owner: () => "b",
+        ownersVersion: () => 0,
+        firstTokenLimitMilliseconds: 1500,
+        renewalMilliseconds: 1000,
+    });
+    const sent = (actions: readonly HolderAction[]) =>
+        actions.flatMap(action => (action.kind === "send" ? [action.request] : []));
+    assert.equal(holder.take("u", 50, 0), undefined);
+    const [asked] = sent(holder.step([], 0));
+    const grant = {
+        upstream: "u",
+        granted: quantity(2, 100),
+        contended: false,
+        warm: false,
+        wantsLoad: false,
+    };
+    const reply = { validMilliseconds: 3000, grants: [grant], refused: [] };
+    holder.step([{ kind: "replied", owner: "b", sequence: asked!.sequence, reply }], 10);
+    const credit = holder.take("u", 50, 20)!;
+    const [returned] = sent(holder.handBack(30));
+    assert.deepEqual(returned!.runners[0]!.held, quantity(1, 50), "what is in use stays counted");
+    assert.deepEqual(returned!.runners[0]!.wanted, quantity(1, 50));
+    assert.equal(holder.take("u", 50, 40), undefined);
+    holder.request("u", 50, 40);
+    holder.giveBack(credit, { succeeded: true, firstTokenMilliseconds: 1 }, 50);
+    for (let now = 60; now < 5000; now += 100) {
+        for (const { runners } of sent(holder.step([], now))) {
+            assert.deepEqual(runners[0]!.held, quantity(0, 0));
+            assert.deepEqual(runners[0]!.wanted, quantity(0, 0));
+        }
+    }
+});
--- a/src/node/admission/create-admission.ts
+++ b/src/node/admission/create-admission.ts
@@ -85,6 +85,11 @@
      * @param measuredAt Not later than the measurement; monotonic milliseconds.
      */
     reportLoad(upstream: string, held: Quantity, measuredAt: number): void;
+    /**
+     * Returns unused credits to their owners and takes none any more. Resolves when the owners answered or the
+     * calls failed. Must precede the announcement that this node has left: owners stop counting then.
+     */
+    handBack(): Promise<void>;
     /** Whether the runner counts as warm, as far as this node knows. */
     isWarm(upstream: string, now: number): boolean;
     /** Registers the function that is told when a runner that this node uses turns warm or cold. */
@@ -256,13 +261,12 @@
         );
     }
 
-    options.lifecycle.add({
-        name: "admission",
-        start: () => async () => {
-            const sends = holder.handBack(options.now()).filter(action => action.kind === "send");
-            await Promise.allSettled(sends.map(action => call(action.owner, action.request)));
-        },
-    });
+    const handBack = async (): Promise<void> => {
+        const sends = holder.handBack(options.now()).filter(action => action.kind === "send");
+        await Promise.allSettled(sends.map(action => call(action.owner, action.request)));
+    };
+
+    options.lifecycle.add({ name: "admission", start: () => handBack });
 
     return {
         tryAcquire: (upstream, memoryTokens, now) => {
@@ -295,6 +299,7 @@
             owner.reportLoad(upstream, held, measuredAt);
             holder.reportLoad(upstream, held, measuredAt);
         },
+        handBack,
         isWarm: (upstream, now) => owner.isWarm(upstream, now) || holder.isWarm(upstream),
         dump: () => {
             const now = options.now();
--- a/src/node/admission/holder.ts
+++ b/src/node/admission/holder.ts
@@ -126,7 +126,7 @@
     /** Whether the runner's owner called it warm in its last reply. */
     isWarm(upstream: string): boolean;
     step(events: readonly HolderEvent[], now: number): readonly HolderAction[];
-    /** Messages that return every unused credit. For a planned stop. */
+    /** Messages that return every unused credit. From then on no credit is taken or asked for. */
     handBack(now: number): readonly HolderAction[];
     totals(now: number): HolderTotals;
     dump(now: number): readonly unknown[];
@@ -139,6 +139,8 @@
     const openCredits = new Set<number>();
     let nextCreditId = 0;
     let sequence = 0;
+    /** Whether this node returned its unused credits for good. */
+    let isLeaving = false;
     /** Whether a credit was given back on which requests of this node may wait. */
     let hasFreed = false;
     let ownersVersion = options.ownersVersion();
@@ -266,6 +268,9 @@
 
     const wanted = (row: HeldRow, now: number): Quantity => {
         endPeriod(row, now);
+        if (isLeaving) {
+            return row.inUse;
+        }
         const need = add(row.inUse, row.unmet);
         if (row.contended) {
             return need;
@@ -420,6 +425,9 @@
 
     return {
         take: (upstream, memoryTokens, now) => {
+            if (isLeaving) {
+                return undefined;
+            }
             const row = rowOf(upstream, now);
             const demand = { concurrency: 1, memoryTokens };
             const use = add(row.inUse, demand);
@@ -441,6 +449,9 @@
             return { upstream, memoryTokens, id: nextCreditId };
         },
         request: (upstream, memoryTokens, now) => {
+            if (isLeaving) {
+                return;
+            }
             const row = rowOf(upstream, now);
             const demand = { concurrency: 1, memoryTokens };
             if (!fits(add(row.inUse, demand), usable(row, now))) {
@@ -526,12 +537,9 @@
         },
         handBack: now => {
             const actions: HolderAction[] = [];
+            isLeaving = true;
             for (const row of rows.values()) {
                 row.unmet = NOTHING;
-                row.peak = row.inUse;
-                row.previousPeak = row.inUse;
-                row.wasTaken = false;
-                row.wasTakenBefore = false;
             }
             for (const link of [...links.values()]) {
                 const action = send(link, now);
--- a/src/node/admission/owner.ts
+++ b/src/node/admission/owner.ts
@@ -8,6 +8,7 @@
  *   refuses requests that arrive out of order. So a holding grows only by the reply to the latest request.
  * - The node measures a grant from before it sent the request, the owner from when it handled it, so the node
  *   stops starting requests first.
+ * - A node that leaves returns its credits and takes none any more before it announces that it has left.
  * - A node that falls silent may have started requests until its grant ended, and they may still run. So its
  *   count stays until it speaks again, leaves, is seen restarted, or `silentNodeMilliseconds` have passed. What
  *   the runner itself reports to hold after the grant's end is an upper limit for it.
--- a/src/node/daemon/compose.ts
+++ b/src/node/daemon/compose.ts
@@ -315,6 +315,7 @@
             await Promise.race([jobsEnded, limit]);
             router.stopAccepting();
             await Promise.race([router.whenIdle(), limit]);
+            await admission.handBack();
             await billing.flush();
             await membership.announceLeft();
         },
