Hear all nodes before a version is rolled back, and move sessions to it over time

Only nodes with errors had reported since the full stage began, so the sum held most errors and few answers; 87 nodes also tested their own counts at the level for one. The errors came after the full stage began, when all sessions moved at once to upstreams without cached prompts.

Ruled out: lost rows (the four failed writes were repeated); errors spread over the version: 17 of 18 traced losses were at 5 of its upstreams, overloaded at that time.

Change: when the sum is suspicious every node reports its counts, and the alarm waits 1.2 s for them; a node's own test is corrected for the number of nodes. The full stage takes over the sessions by their hash from 0.5 to 0.65 of the duration.

--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -52,8 +52,9 @@
 /** Largest share of a shift's duration in which running sessions are collected. */
 const COLLECT_SHARE = 0.25;
 
-/** Shares of a shift's duration at which it goes on to all requests, and is completed. */
-const FULL_AT = 0.55;
+/** Shares of a shift's duration from which and by which it goes on to all sessions, and is completed. */
+const FULL_AT = 0.5;
+const FULL_BY = 0.65;
 const COMPLETE_AT = 0.8;
 
 /** Time between looks at lapsed registrations, milliseconds. */
@@ -186,12 +187,14 @@
         replica: replicas.nodes,
         store: adapter.store,
         clockOffset: () => sync.clockOffset(),
+        nodeCount: () => nodes.count(),
         encodeReport: (order, stage) => adapter.encodeShiftReport(order, stage),
         settings: {
             sessionMilliseconds: config.sessions.idleSeconds * 1000,
             collectShare: COLLECT_SHARE,
             canaryShare: config.shifts.exposureShare * CANARY_MARGIN,
             fullAt: FULL_AT,
+            fullBy: FULL_BY,
             completeAt: COMPLETE_AT,
         },
         clock,
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -1,6 +1,8 @@
 /** Guards against exposure to bad versions, sessions that change their version and shifts that never end. */
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { TestContext } from "node:test";
+import { createSeededRandom } from "../../common/random.js";
 import { createLifecycle } from "../../lifecycle/lifecycle.js";
 import { silentLogging } from "../../logging/logging.js";
 import { createRowReplica } from "../../replica/row-replica.js";
@@ -17,6 +19,7 @@
     collectShare: 0.25,
     canaryShare: 0.1,
     fullAt: 0.55,
+    fullBy: 0.7,
     completeAt: 0.8,
 };
 const order: ShiftOrder = { service: "engines", version: "v2", durationMilliseconds: 20_000, revision: 9 };
@@ -78,6 +81,26 @@
     assert.equal(after.prefersNew!("s1", "v2"), false);
 });
 
+// Guards against upstreams of the new version that get all sessions at once, without a cached prompt.
+test("a proved version gets the sessions little by little and takes none back", () => {
+    const full: ShiftState = { ...canary, stage: "full" };
+    const sessions = Array.from({ length: 2000 }, (_, index) => `s${index}`);
+    const onNew = (progress: number): readonly string[] => {
+        const storeTime = full.startedAt + progress * order.durationMilliseconds;
+        const { prefersNew } = versionRule(order, full, { ...view, storeTime }, settings);
+        return sessions.filter(session => prefersNew!(session, undefined));
+    };
+    const steps = [0.55, 0.6, 0.65, 0.7].map(onNew);
+    const counts = steps.map(step => step.length / sessions.length);
+    [0.1, 0.4, 0.7, 1].forEach((share, index) =>
+        assert.ok(Math.abs(counts[index]! - share) < 0.05, `${counts}`),
+    );
+    steps.slice(1).forEach((step, index) => {
+        const later = new Set(step);
+        assert.ok(steps[index]!.every(session => later.has(session)));
+    });
+});
+
 test("a state of an older order does not count", () => {
     assert.equal(versionRule({ ...order, revision: 10 }, canary, view, settings).isAllowed("v2"), false);
 });
@@ -176,6 +199,7 @@
             replica: replicas[index]!,
             store,
             clockOffset: () => 0,
+            nodeCount: () => names.length,
             encodeReport: (_order, stage) => ({ table: "reports", key: "shift", value: stage }),
             settings,
             clock: { now: Date.now, wallTime: Date.now },
@@ -262,3 +286,53 @@
     assert.equal(coordinators[0]!.rule("engines").isAllowed("v2"), false);
     await lifecycle.stop();
 });
+
+/**
+ * Plays a shift on many nodes with 40 answers in 100 ms.
+ *
+ * @returns The last report and the number of bad answers of the new version that were given.
+ */
+async function playShift(
+    context: TestContext,
+    seed: number,
+    errorShares: { readonly old: number; readonly new: number },
+) {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const { coordinators, lifecycle, report } = createNodes(Array.from({ length: 40 }, (_, i) => `n${i}`));
+    const random = createSeededRandom(seed);
+    await lifecycle.start();
+    let badAnswers = 0;
+    for (let step = 0; step < 200 && report() !== "rolled-back"; step++) {
+        const stage = report();
+        for (let answer = 0; answer < 40; answer++) {
+            const isNew = stage === "full" || (stage === "canary" && step > 60 && random() < 0.08);
+            const isBad = random() < (isNew ? errorShares.new : errorShares.old);
+            badAnswers += isNew && isBad ? 1 : 0;
+            const coordinator = coordinators[Math.floor(random() * coordinators.length)]!;
+            coordinator.record("engines", isNew ? "v2" : "v1", "reports", !isBad, quick);
+        }
+        await pass(context.mock.timers, 100);
+    }
+    await lifecycle.stop();
+    context.mock.timers.reset();
+    return { report: report(), badAnswers };
+}
+
+// Nodes without errors have nothing to report, so the reported answers hold more errors than all answers do.
+test("a sound version on many nodes is not rolled back for the errors that every version has", async context => {
+    for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+        assert.equal(
+            (await playShift(context, seed, { old: 0.02, new: 0.02 })).report,
+            "completed",
+            `${seed}`,
+        );
+    }
+});
+
+test("a bad version on many nodes is rolled back before 50 bad answers", async context => {
+    for (const seed of [1, 2, 3, 4]) {
+        const { report, badAnswers } = await playShift(context, seed, { old: 0.02, new: 0.5 });
+        assert.equal(report, "rolled-back");
+        assert.ok(badAnswers <= 50, `${badAnswers} bad answers`);
+    }
+});
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -12,7 +12,7 @@
 import { isCanarySession, isCollecting, laterState, nextStage, versionRule } from "./shift.js";
 import type { ShiftOrder, ShiftSettings, ShiftStage, ShiftState, ShiftView, VersionRule } from "./shift.js";
 import { assessEvidence, countEvidence, mergeEvidence } from "./shift-evidence.js";
-import type { EvidenceTable } from "./shift-evidence.js";
+import type { EvidenceAssessment, EvidenceTable } from "./shift-evidence.js";
 
 export interface ShiftCoordinator {
     rule(service: string): VersionRule;
@@ -34,9 +34,10 @@
     readonly orders: () => readonly ShiftOrder[];
     readonly replica: RowReplica;
     readonly store: SharedStore;
-    /** Encodes the report of a shift for the operators. */
     /** Offset of the store's clock from the process's monotonic clock, milliseconds; `undefined` when not known. */
     readonly clockOffset: () => number | undefined;
+    readonly nodeCount: () => number;
+    /** Encodes the report of a shift for the operators. */
     readonly encodeReport: (order: ShiftOrder, stage: ShiftStage) => RowWrite;
     readonly settings: ShiftSettings;
     readonly clock: Clock;
@@ -56,9 +57,18 @@
 /** Time after a failed write, milliseconds. */
 const WRITE_RETRY_MILLISECONDS = 500;
 
-/** Logarithm of the likelihood ratio of a slow-down from which on a node reports its evidence. */
+/** Logarithm of a likelihood ratio from which on every node reports its evidence. */
 const SUSPICIOUS_LOG_RATIO = 0.5;
 
+/**
+ * Time from the first suspicion to an alarm by the evidence of all nodes, milliseconds: an interval between reports
+ * and the way through the store. Nodes with errors report first, so that their evidence alone misleads.
+ */
+const HEARING_MILLISECONDS = 1200;
+
+/** Growth of a node's answers since its last report from which on it reports again. Below the slack of the test. */
+const REPORTED_GROWTH = 1.3;
+
 /** Share of the time to the full stage at which nodes without errors report their evidence. */
 const FINAL_EVIDENCE_SHARE = 0.85;
 
@@ -69,9 +79,12 @@
     readonly sessions: Set<string>;
     hasReportedSessions: boolean;
     evidence: EvidenceTable;
-    /** Errors and answers of the new version at the last report. */
+    /** Errors of the new version and answers of both at the last report. */
     reportedErrors: number;
+    reportedAnswers: number;
     hasReportedAnswers: boolean;
+    /** Since when the evidence of all nodes has been suspicious; `undefined` while it is not. */
+    suspiciousSince: number | undefined;
     reportedAt: number;
     nextWriteAt: number;
     /** What this node decided or read, whichever is later. */
@@ -120,6 +133,8 @@
             hasReportedSessions: false,
             evidence: {},
             reportedErrors: 0,
+            reportedAnswers: 0,
+            suspiciousSince: undefined,
             hasReportedAnswers: false,
             reportedAt: 0,
             nextWriteAt: now + hashToUnit(`${options.node}\u0000${order.revision}`) * SPREAD_MILLISECONDS,
@@ -242,14 +257,18 @@
     };
 
     const reportEvidence = (shift: LocalShift, progress: number): boolean => {
-        const { answers, errors, latencyLogRatio } = assessEvidence(shift.evidence);
+        const { answers, referenceAnswers, errors, latencyLogRatio } = assessEvidence(shift.evidence);
+        const allAnswers = answers + referenceAnswers;
         const hasNewErrors = errors > shift.reportedErrors || latencyLogRatio > SUSPICIOUS_LOG_RATIO;
+        const isAsked =
+            shift.suspiciousSince !== undefined && allAnswers > shift.reportedAnswers * REPORTED_GROWTH;
         const isFinal =
             !shift.hasReportedAnswers && answers > 0 && progress >= settings.fullAt * FINAL_EVIDENCE_SHARE;
         const isDue = clock.now() - shift.reportedAt >= EVIDENCE_INTERVAL_MILLISECONDS;
-        if (!isDue || !(hasNewErrors || isFinal)) {
+        if (!isDue || !(hasNewErrors || isAsked || isFinal)) {
             return false;
         }
+        shift.reportedAnswers = allAnswers;
         shift.reportedErrors = errors;
         shift.hasReportedAnswers ||= isFinal;
         shift.reportedAt = clock.now();
@@ -262,6 +281,18 @@
         return true;
     };
 
+    /** Tests the evidence of all nodes once all had time to report, and this node's own at any time. */
+    const assess = (shift: LocalShift): EvidenceAssessment => {
+        const merged = assessEvidence(mergedEvidence(shift));
+        const isSuspicious = Math.max(merged.errorLogRatio, merged.latencyLogRatio) > SUSPICIOUS_LOG_RATIO;
+        shift.suspiciousSince = isSuspicious ? (shift.suspiciousSince ?? clock.now()) : undefined;
+        const isHeard =
+            shift.suspiciousSince !== undefined &&
+            clock.now() - shift.suspiciousSince >= HEARING_MILLISECONDS;
+        const own = assessEvidence(shift.evidence, options.nodeCount());
+        return { ...merged, isBad: (merged.isBad && isHeard) || own.isBad };
+    };
+
     const advance = (shift: LocalShift): void => {
         const { order } = shift;
         const stored = readState(order);
@@ -295,7 +326,7 @@
             return;
         }
         const progress = (time - shift.state.startedAt) / order.durationMilliseconds;
-        const assessment = assessEvidence(mergedEvidence(shift));
+        const assessment = assess(shift);
         const stage = nextStage(order, shift.state, assessment, time, settings);
         if (stage === "rolled-back") {
             logger.warn("The new version is bad; going back.", {
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -22,7 +22,10 @@
 /** Slow-down for which the test is most sensitive, as a difference of logarithms. */
 const LATENCY_SCALE = Math.log(3);
 
-/** Logarithm of the likelihood ratio at which the version counts as bad: one wrong alarm in 1,000 shifts. */
+/**
+ * Logarithm of the likelihood ratio at which the version counts as bad: one wrong alarm in 1,000 shifts, when one
+ * table is tested.
+ */
 const ALARM_LOG_RATIO = Math.log(1000);
 
 /** Errors of the new version below which it is not called bad. */
@@ -80,6 +83,8 @@
     readonly isBad: boolean;
     readonly answers: number;
     readonly errors: number;
+    /** Answers of the old version. */
+    readonly referenceAnswers: number;
     /** Logarithms of the likelihood ratios of the two tests. */
     readonly errorLogRatio: number;
     readonly latencyLogRatio: number;
@@ -92,18 +97,21 @@
         : logRatioOfLoss(latency.difference - LATENCY_SLACK, latency.variance, LATENCY_SCALE);
 }
 
-export function assessEvidence(table: EvidenceTable): EvidenceAssessment {
+/** @param tables Tables that are tested beside each other, each of which could raise a wrong alarm. */
+export function assessEvidence(table: EvidenceTable, tables = 1): EvidenceAssessment {
     const entries = Object.entries(table);
     const heads = entries.filter(([key]) => !key.endsWith(PACE_SUFFIX)).map(([, stratum]) => stratum);
     const paces = entries.filter(([key]) => key.endsWith(PACE_SUFFIX)).map(([, stratum]) => stratum);
     const total = heads.reduce((sum, { version }) => addCounters(sum, version), NO_COUNTERS);
+    const alarmLogRatio = ALARM_LOG_RATIO + Math.log(tables);
     const errorLogRatio = logRatioOfErrors(heads, ERROR_SLACK_RATIO);
     const latencyLogRatio = Math.max(latencyLogRatioOf(heads), latencyLogRatioOf(paces));
-    const isErroneous = total.errors >= LEAST_ERRORS && errorLogRatio >= ALARM_LOG_RATIO;
+    const isErroneous = total.errors >= LEAST_ERRORS && errorLogRatio >= alarmLogRatio;
     return {
-        isBad: isErroneous || latencyLogRatio >= ALARM_LOG_RATIO,
+        isBad: isErroneous || latencyLogRatio >= alarmLogRatio,
         answers: total.answers,
         errors: total.errors,
+        referenceAnswers: heads.reduce((sum, { reference }) => sum + reference.answers, 0),
         errorLogRatio,
         latencyLogRatio,
     };
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -36,8 +36,10 @@
     readonly collectShare: number;
     /** Share of the sessions that run on the new version until it has proved itself. */
     readonly canaryShare: number;
-    /** Share of the duration after which a sound version gets all requests. */
+    /** Share of the duration after which a sound version gets more and more of the sessions. */
     readonly fullAt: number;
+    /** Share of the duration after which it gets all of them. */
+    readonly fullBy: number;
     /** Share of the duration after which the shift is completed. */
     readonly completeAt: number;
 }
@@ -68,9 +70,31 @@
     return storeTime === undefined || storeTime < state.startedAt + time;
 }
 
+function pointOf(sessionKey: string): number {
+    return hashToUnit(`shift\u0000${sessionKey}`);
+}
+
 /** Returns whether a session that begins during the canary stage runs on the new version. */
 export function isCanarySession(sessionKey: string, settings: ShiftSettings): boolean {
-    return hashToUnit(`shift\u0000${sessionKey}`) < settings.canaryShare;
+    return pointOf(sessionKey) < settings.canaryShare;
+}
+
+/**
+ * Returns the share of the sessions on the new version during the full stage. It grows over a time, so that the
+ * new upstreams do not get every session at once without a cached prompt.
+ */
+function fullShare(
+    order: ShiftOrder,
+    state: ShiftState,
+    storeTime: number | undefined,
+    settings: ShiftSettings,
+): number {
+    if (storeTime === undefined) {
+        return 1;
+    }
+    const progress = (storeTime - state.startedAt) / order.durationMilliseconds;
+    const ramp = (progress - settings.fullAt) / (settings.fullBy - settings.fullAt);
+    return settings.canaryShare + (1 - settings.canaryShare) * Math.min(1, Math.max(0, ramp));
 }
 
 export interface VersionRule {
@@ -115,8 +139,14 @@
                         : lastVersion === newVersion),
                 newVersion,
             };
-        case "full":
-            return { isAllowed: () => true, prefersNew: () => true, newVersion };
+        case "full": {
+            const share = fullShare(order, current, view.storeTime, settings);
+            return {
+                isAllowed: () => true,
+                prefersNew: sessionKey => pointOf(sessionKey) < share,
+                newVersion,
+            };
+        }
         case "completed":
             return { isAllowed: version => version === newVersion, prefersNew: undefined, newVersion };
     }
