Report evidence of shifts in small rows, by few nodes

At 14.9 to 16.9 s calls to relays and feeds of the store timed out in all four data centres at once.

Change: rows hold arrays of rounded sums; the sum of other nodes' rows is kept until rows change; nodes without errors report one after the other and only until the answers suffice (16). Tests: "few nodes report when a version is sound" (80 rows before, at most 20), "evidence survives its row".

--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -10,8 +10,14 @@
 import { createShiftCoordinator } from "../shift-coordinator.js";
 import { nextStage, versionRule } from "../shift.js";
 import type { ShiftOrder, ShiftState } from "../shift.js";
-import { assessEvidence, countEvidence, mergeEvidence } from "../shift-evidence.js";
-import type { EvidenceTable } from "../shift-evidence.js";
+import {
+    assessEvidence,
+    countEvidence,
+    decodeEvidence,
+    encodeEvidence,
+    mergeEvidence,
+} from "../shift-evidence.js";
+import type { EvidenceTable, WireEvidence } from "../shift-evidence.js";
 import { createSessionVersions } from "../session-versions.js";
 
 const settings = {
@@ -210,6 +216,7 @@
     return {
         coordinators,
         lifecycle,
+        evidenceRows: () => [...rows.keys()].filter(key => key.startsWith("evidence/")).length,
         report: () => rows.get("report:shift")?.value,
         setUp: (up: boolean) => {
             isUp = up;
@@ -336,3 +343,29 @@
         assert.ok(badAnswers <= 50, `${badAnswers} bad answers`);
     }
 });
+
+// Guards against a report of every node of a large deployment when a few suffice.
+test("few nodes report when a version is sound", async context => {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const nodes = createNodes(Array.from({ length: 80 }, (_, i) => `n${i}`));
+    await nodes.lifecycle.start();
+    await pass(context.mock.timers, 1000);
+    for (const coordinator of nodes.coordinators) {
+        for (let answer = 0; answer < 10; answer++) {
+            coordinator.record("engines", answer < 2 ? "v2" : "v1", "reports", true, quick);
+        }
+    }
+    await pass(context.mock.timers, 18_000);
+    assert.equal(nodes.report(), "completed");
+    assert.ok(nodes.evidenceRows() <= 20, `${nodes.evidenceRows()} rows`);
+    await nodes.lifecycle.stop();
+});
+
+test("evidence survives its row", () => {
+    const table = collect(2, 40, 3, 70);
+    const read = decodeEvidence(JSON.parse(JSON.stringify(encodeEvidence(table))) as WireEvidence);
+    const [before, after] = [assessEvidence(table), assessEvidence(read)];
+    assert.equal(after.answers, before.answers);
+    assert.ok(Math.abs(after.errorLogRatio - before.errorLogRatio) < 0.01);
+    assert.ok(Math.abs(after.latencyLogRatio - before.latencyLogRatio) < 0.01);
+});
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -9,10 +9,16 @@
 import type { Logger } from "../logging/logging.js";
 import type { RowReplica } from "../replica/row-replica.js";
 import type { RowWrite, SharedStore } from "../replica/shared-store.js";
-import { isCanarySession, isCollecting, laterState, nextStage, versionRule } from "./shift.js";
+import { LEAST_ANSWERS, isCanarySession, isCollecting, laterState, nextStage, versionRule } from "./shift.js";
 import type { ShiftOrder, ShiftSettings, ShiftStage, ShiftState, ShiftView, VersionRule } from "./shift.js";
-import { assessEvidence, countEvidence, mergeEvidence } from "./shift-evidence.js";
-import type { EvidenceAssessment, EvidenceTable } from "./shift-evidence.js";
+import {
+    assessEvidence,
+    countEvidence,
+    decodeEvidence,
+    encodeEvidence,
+    mergeEvidence,
+} from "./shift-evidence.js";
+import type { EvidenceAssessment, EvidenceTable, WireEvidence } from "./shift-evidence.js";
 
 export interface ShiftCoordinator {
     rule(service: string): VersionRule;
@@ -69,8 +75,14 @@
 /** Growth of a node's answers since its last report from which on it reports again. Below the slack of the test. */
 const REPORTED_GROWTH = 1.3;
 
-/** Share of the time to the full stage at which nodes without errors report their evidence. */
-const FINAL_EVIDENCE_SHARE = 0.85;
+/**
+ * Share of the time to the full stage from which nodes without errors report their evidence, one after the other,
+ * until the answers suffice.
+ */
+const FINAL_EVIDENCE_SHARE = 0.8;
+
+/** Answers of the new version that are enough for the full stage, with as many again for rows on their way. */
+const SOUND_ANSWERS = 2 * LEAST_ANSWERS;
 
 interface LocalShift {
     readonly order: ShiftOrder;
@@ -99,10 +111,11 @@
 
 interface EvidenceRow {
     readonly orderRevision: number;
-    readonly evidence: EvidenceTable;
+    readonly evidence: WireEvidence;
 }
 
 const SESSIONS_PREFIX = "sessions/";
+const EVIDENCE_PREFIX = "evidence/";
 
 const NO_VIEW: ShiftView = { storeTime: undefined, isCollected: () => false };
 
@@ -112,6 +125,8 @@
 
 export function createShiftCoordinator(options: ShiftCoordinatorOptions): ShiftCoordinator {
     const { replica, store, clock, logger, settings } = options;
+    /** Place of this node, from 0 to 1, in the order in which nodes without errors report. */
+    const finalDelay = hashToUnit(`final\u0000${options.node}`);
     const shifts = new Map<string, LocalShift>();
 
     const readState = (order: ShiftOrder): ShiftState | undefined => {
@@ -142,6 +157,7 @@
             writing: false,
         };
         shifts.set(order.service, shift);
+        reported.delete(order.service);
         logger.info("Learned of a shift.", {
             service: order.service,
             version: order.version,
@@ -243,27 +259,43 @@
         write(shift, [{ table: "nodes", key, value: JSON.stringify(row) }], undefined);
     };
 
-    const ownEvidenceKey = (service: string): string => `evidence/${service}/${options.node}`;
+    const ownEvidenceKey = (service: string): string => `${EVIDENCE_PREFIX}${service}/${options.node}`;
+
+    /** Sum of what the other nodes reported, by service; added up again when the rows change. */
+    const reported = new Map<string, EvidenceTable>();
+    replica.onChange(changes => {
+        if (changes.some(change => change.key.startsWith(EVIDENCE_PREFIX))) {
+            reported.clear();
+        }
+    });
 
     const mergedEvidence = (shift: LocalShift): EvidenceTable => {
         const { service, revision } = shift.order;
-        const others = replica
-            .list(`evidence/${service}/`)
-            .filter(row => row.key !== ownEvidenceKey(service))
-            .map(row => JSON.parse(row.value!) as EvidenceRow)
-            .filter(row => row.orderRevision === revision)
-            .map(row => row.evidence);
-        return mergeEvidence([shift.evidence, ...others]);
+        let others = reported.get(service);
+        if (others === undefined) {
+            const rows = replica
+                .list(`${EVIDENCE_PREFIX}${service}/`)
+                .filter(row => row.key !== ownEvidenceKey(service))
+                .map(row => JSON.parse(row.value!) as EvidenceRow)
+                .filter(row => row.orderRevision === revision);
+            others = mergeEvidence(rows.map(row => decodeEvidence(row.evidence)));
+            reported.set(service, others);
+        }
+        return mergeEvidence([shift.evidence, others]);
     };
 
-    const reportEvidence = (shift: LocalShift, progress: number): boolean => {
+    const reportEvidence = (shift: LocalShift, progress: number, knownAnswers: number): boolean => {
         const { answers, referenceAnswers, errors, latencyLogRatio } = assessEvidence(shift.evidence);
         const allAnswers = answers + referenceAnswers;
         const hasNewErrors = errors > shift.reportedErrors || latencyLogRatio > SUSPICIOUS_LOG_RATIO;
         const isAsked =
             shift.suspiciousSince !== undefined && allAnswers > shift.reportedAnswers * REPORTED_GROWTH;
+        const finalShare = FINAL_EVIDENCE_SHARE + finalDelay * (1 - FINAL_EVIDENCE_SHARE);
         const isFinal =
-            !shift.hasReportedAnswers && answers > 0 && progress >= settings.fullAt * FINAL_EVIDENCE_SHARE;
+            !shift.hasReportedAnswers &&
+            answers > 0 &&
+            knownAnswers < SOUND_ANSWERS &&
+            progress >= settings.fullAt * finalShare;
         const isDue = clock.now() - shift.reportedAt >= EVIDENCE_INTERVAL_MILLISECONDS;
         if (!isDue || !(hasNewErrors || isAsked || isFinal)) {
             return false;
@@ -272,7 +304,10 @@
         shift.reportedErrors = errors;
         shift.hasReportedAnswers ||= isFinal;
         shift.reportedAt = clock.now();
-        const row: EvidenceRow = { orderRevision: shift.order.revision, evidence: shift.evidence };
+        const row: EvidenceRow = {
+            orderRevision: shift.order.revision,
+            evidence: encodeEvidence(shift.evidence),
+        };
         write(
             shift,
             [{ table: "nodes", key: ownEvidenceKey(shift.order.service), value: JSON.stringify(row) }],
@@ -344,7 +379,7 @@
             writeStage(shift, { ...shift.state, stage });
             return;
         }
-        reportEvidence(shift, progress);
+        reportEvidence(shift, progress, assessment.answers);
     };
 
     options.lifecycle.add({
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -79,6 +79,42 @@
     return merged;
 }
 
+/** Answers, errors, and count, sum and sum of squares of the logarithms of the latency. */
+type WireCounters = readonly [number, number, number, number, number];
+
+/** Counters of the new and the old version by stratum. A deployment holds one such row for each node. */
+export type WireEvidence = Readonly<Record<string, readonly [WireCounters, WireCounters]>>;
+
+/** Decimals of a sum in a row. Far finer than the variance of a single latency. */
+const WIRE_DECIMALS = 4;
+
+function encodeCounters({ answers, errors, logLatency }: Counters): WireCounters {
+    const round = (value: number): number => Number(value.toFixed(WIRE_DECIMALS));
+    return [answers, errors, logLatency.count, round(logLatency.sum), round(logLatency.sumOfSquares)];
+}
+
+function decodeCounters([answers, errors, count, sum, sumOfSquares]: WireCounters): Counters {
+    return { ...NO_COUNTERS, answers, errors, logLatency: { count, sum, sumOfSquares } };
+}
+
+export function encodeEvidence(table: EvidenceTable): WireEvidence {
+    return Object.fromEntries(
+        Object.entries(table).map(([stratum, { version, reference }]) => [
+            stratum,
+            [encodeCounters(version), encodeCounters(reference)] as const,
+        ]),
+    );
+}
+
+export function decodeEvidence(wire: WireEvidence): EvidenceTable {
+    return Object.fromEntries(
+        Object.entries(wire).map(([stratum, [version, reference]]) => [
+            stratum,
+            { version: decodeCounters(version), reference: decodeCounters(reference) },
+        ]),
+    );
+}
+
 export interface EvidenceAssessment {
     readonly isBad: boolean;
     readonly answers: number;
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -159,7 +159,7 @@
 }
 
 /** Answers that the new version must have given before it gets all requests. */
-const LEAST_ANSWERS = 8;
+export const LEAST_ANSWERS = 8;
 
 /** Returns the stage that the shift should go to now, or `undefined` to stay. */
 export function nextStage(
