Notice a silent store or relay within half of the time to apply

A relay trusted a silent feed for up to 2.8 s, and its followers trusted the relay, although their own way to the store was open. Calls to a silent relay took 1.5 s to fail.

Ruled out: circles and lost wakes (property and fleet tests).

Change: feed calls for configurations wait 0.6 s, calls to relays 0.5 s with a limit of 0.9 s.

--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -23,8 +23,16 @@
     readonly peerAddress: string;
 }
 
-/** Time that the store may hold a feed call open, milliseconds. Bounds how long a silent connection is trusted. */
-const FEED_WAIT_MILLISECONDS = 1900;
+/**
+ * Time that the store may hold a feed call of a table open, milliseconds. Bounds how long a silent connection is
+ * trusted: the shortest, with the store's time to answer, must stay below the time to apply a configuration, also for
+ * the nodes that follow this one.
+ */
+const FEED_WAIT_MILLISECONDS: Readonly<Record<TableName, number>> = {
+    configuration: 600,
+    runners: 1900,
+    nodes: 1900,
+};
 
 /** Pause between two feed calls of a table, milliseconds. Groups changes that follow each other. */
 const FEED_PAUSE_MILLISECONDS = 100;
@@ -33,11 +41,11 @@
 const RETRY_PAUSE_MILLISECONDS = 200;
 const LONGEST_RETRY_PAUSE_MILLISECONDS = 800;
 
-/** Time that a relay may hold a call open, milliseconds. With the next, half of the time to apply changes. */
-const RELAY_WAIT_MILLISECONDS = 1000;
+/** Time that a relay may hold a call open, milliseconds. */
+const RELAY_WAIT_MILLISECONDS = 500;
 
-/** Time after which a relay counts as silent, milliseconds. */
-const RELAY_TIMEOUT_MILLISECONDS = 1500;
+/** Time after which a relay counts as silent, milliseconds. Half of the shortest time to apply a configuration. */
+const RELAY_TIMEOUT_MILLISECONDS = 900;
 
 /** Time for which a relay is not asked after a call that failed, milliseconds. A restart takes about a second. */
 const FAILED_RELAY_PAUSE_MILLISECONDS = 4000;
@@ -108,7 +116,7 @@
     const readOnce = async (table: TableName): Promise<void> => {
         const replica = replicas[table];
         // The first answer after an interruption comes at once, so that it tells early that the store is back.
-        const wait = read.has(table) && !failing.has(table) ? FEED_WAIT_MILLISECONDS : 0;
+        const wait = read.has(table) && !failing.has(table) ? FEED_WAIT_MILLISECONDS[table] : 0;
         const isFirst = replica.revision === 0 && !read.has(table);
         const changes = isFirst ? undefined : await store.readChanges(table, replica.revision, wait);
         replica.apply(changes ?? (await store.readTable(table)));
