Explain a request from the logs of router nodes

Cause: on-call engineers had to find and read the JSON lines of a request by hand.

Change: `geraniumbarrow explain REQUEST-ID LOG-FILE...` prints how a request ended, its lines with times relative to its arrival, and what the node learned of its upstreams in the 30 s before. Tests: command with exit codes, context that names other upstreams is left out.

--- a/src/node/command-line/__tests__/command-line.spec.ts
+++ b/src/node/command-line/__tests__/command-line.spec.ts
@@ -148,3 +148,51 @@
         assert.deepEqual([result.outcome.kind, result.readBack], [kind, readBack]);
     }
 });
+
+test("explains a request from the logs of the nodes", async () => {
+    const time = (offset: number): string => new Date(1_700_000_000_000 + offset).toISOString();
+    const lines = [
+        { time: time(-60_000), part: "upstreams", message: "Learned of an upstream.", upstream: "a1" },
+        {
+            time: time(-500),
+            part: "upstreams",
+            message: "Dropped an upstream.",
+            upstream: "a1",
+            reason: "gone",
+        },
+        {
+            time: time(-400),
+            part: "upstreams",
+            message: "Dropped an upstream.",
+            upstream: "b9",
+            reason: "gone",
+        },
+        { time: time(0), part: "requests", message: "A request arrived.", request: "r1", route: "desk" },
+        {
+            time: time(5),
+            part: "attempts",
+            message: "An attempt ended.",
+            request: "r1",
+            upstream: "a1",
+            result: "lost",
+        },
+        {
+            time: time(6),
+            part: "requests",
+            message: "A request ended.",
+            request: "r1",
+            outcome: "failed",
+            reason: "reset",
+        },
+    ];
+    const file = join(directory, "node.log");
+    writeFileSync(file, ["not json", ...lines.map(line => JSON.stringify(line))].join("\n"));
+    const { exitCode, output } = await run("http://unused", ["explain", "r1", file]);
+    assert.equal(exitCode, 0);
+    assert.match(output, /got 502: the request may have run.* Reason: reset\. 0 attempts did not run, 1 ran/);
+    assert.match(output, /\+5 ms {2}An attempt ended\. upstream=a1 result=lost/);
+    assert.match(output, /-500 ms {2}Dropped an upstream\. upstream=a1 reason=gone/);
+    assert.doesNotMatch(output, /b9|Learned/);
+    assert.equal((await run("http://unused", ["explain", "r2", file])).exitCode, 1);
+    assert.equal((await run("http://unused", ["explain", "r1", join(directory, "none")])).exitCode, 2);
+});
--- a/src/node/command-line/command-line.ts
+++ b/src/node/command-line/command-line.ts
@@ -3,6 +3,7 @@
 import { Builtins, Cli } from "clipanion";
 import type { BaseContext, Command } from "clipanion";
 import { DrainCommand, RestoreCommand } from "./commands/data-centre.js";
+import { ExplainCommand } from "./commands/explain.js";
 import { BillsCommand, DumpCommand, StatusCommand } from "./commands/node.js";
 import { RolloutHaltCommand, RolloutShowCommand } from "./commands/rollout.js";
 import { TicketApplyCommand, TicketCheckCommand, TicketShowCommand } from "./commands/ticket.js";
@@ -37,6 +38,7 @@
             RolloutShowCommand,
             RolloutHaltCommand,
             BillsCommand,
+            ExplainCommand,
             Builtins.HelpCommand,
             Builtins.VersionCommand,
         ],
