Drop a relay that is not to be followed any more

A stopping node takes itself off the list; its followers learn that by a call to it that succeeds. A node that then came first in its data centre had no one to follow, kept the old relay and read nothing until the relay was back on the list. Its followers took it for current.

Change: a relay that is not among the candidates is dropped before the next call. Test "a relay that left the list is followed no longer": fails before ("first" instead of "second"), passes after.

--- a/src/node/replica/__tests__/relays.spec.ts
+++ b/src/node/replica/__tests__/relays.spec.ts
@@ -36,6 +36,8 @@
 
 interface Fleet {
     readonly nodes: readonly TestNode[];
+    /** Takes a node off the list of nodes. */
+    unlist(id: string): void;
     write(value: string): void;
     pass(milliseconds: number): Promise<void>;
     storeCalls(): number;
@@ -49,7 +51,7 @@
     isEmpty = false,
 ): Promise<Fleet> {
     context.mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"] });
-    const entries = Array.from({ length: size }, (_, index) => ({
+    let entries = Array.from({ length: size }, (_, index) => ({
         id: `node-${index}`,
         dataCentre: `dc-${index % dataCentres}`,
         peerAddress: `node-${index}`,
@@ -167,6 +169,9 @@
 
     return {
         nodes,
+        unlist: id => {
+            entries = entries.filter(entry => entry.id !== id);
+        },
         write: value => {
             row = { key: "k", revision: row.revision + 1, value };
             [...waiting].forEach(resolve => resolve());
@@ -271,6 +276,21 @@
     }
 });
 
+// The followers learn from the relay itself that it leaves, so their last call to it succeeds.
+test("a relay that left the list is followed no longer", async context => {
+    const fleet = await createFleet(context, 2, 1);
+    await fleet.pass(5000);
+    const [first] = fleet.readers();
+    const [other] = fleet.nodes.filter(node => node !== first);
+    fleet.unlist(first!.id);
+    await fleet.pass(APPLY_MILLISECONDS);
+    first!.isFrozen = true;
+    fleet.write("second");
+    await fleet.pass(APPLY_MILLISECONDS);
+    assert.equal(other!.value(), "second");
+    assert.equal(other!.sync.relay(), undefined);
+});
+
 test("nodes know that the store is lost when they follow a relay", async context => {
     const fleet = await createFleet(context, 12, 2);
     await fleet.pass(5000);
--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -168,44 +168,50 @@
         noteConnection({ relay: next.id });
     };
 
-    const leave = (candidate: Relay, reason: string, pause: number): void => {
-        choice.avoid(candidate.id, clock.now() + pause);
-        if (relay?.id !== candidate.id) {
-            logger.debug("A node cannot be followed.", { relay: candidate.id, reason });
-            return;
-        }
-        logger.warn("Lost the node that was followed.", { relay: candidate.id, reason });
+    const dropRelay = (lost: Relay, reason: string): void => {
+        logger.warn("Lost the node that was followed.", { relay: lost.id, reason });
         relay = undefined;
         exchange.answerWaiting();
         wakeReaders.forEach(wake => wake());
         wakeReaders = [];
     };
 
-    const followRelays = async (): Promise<void> => {
-        while (!stopped) {
-            const candidate = choice.choose(options.relays(), clock.now());
-            if (candidate === undefined) {
-                await delay(NO_RELAY_PAUSE_MILLISECONDS);
-                continue;
+    const noteFailure = (candidate: Relay, reason: string, pause: number): void => {
+        choice.avoid(candidate.id, clock.now() + pause);
+        if (relay?.id === candidate.id) {
+            dropRelay(candidate, reason);
+        }
+        else {
+            logger.debug("A node cannot be followed.", { relay: candidate.id, reason });
+        }
+    };
+
+    /** Asks a node for what is new, and follows it when it is in contact with the store. */
+    const ask = async (candidate: Relay): Promise<void> => {
+        try {
+            const wait = relay?.id === candidate.id ? RELAY_WAIT_MILLISECONDS : 0;
+            const answer = await exchange.readFrom(candidate.peerAddress, wait, RELAY_TIMEOUT_MILLISECONDS);
+            if (answer.isCurrent) {
+                relayClockOffset = answer.clockOffset;
+                follow(candidate);
             }
-            try {
-                const wait = relay?.id === candidate.id ? RELAY_WAIT_MILLISECONDS : 0;
-                const answer = await exchange.readFrom(
-                    candidate.peerAddress,
-                    wait,
-                    RELAY_TIMEOUT_MILLISECONDS,
-                );
-                if (answer.isCurrent) {
-                    relayClockOffset = answer.clockOffset;
-                    follow(candidate);
-                }
-                else {
-                    leave(candidate, "it has lost the store", LOST_RELAY_PAUSE_MILLISECONDS);
-                }
+            else {
+                noteFailure(candidate, "it has lost the store", LOST_RELAY_PAUSE_MILLISECONDS);
             }
-            catch (error) {
-                leave(candidate, (error as Error).message, FAILED_RELAY_PAUSE_MILLISECONDS);
+        }
+        catch (error) {
+            noteFailure(candidate, (error as Error).message, FAILED_RELAY_PAUSE_MILLISECONDS);
+        }
+    };
+
+    const followRelays = async (): Promise<void> => {
+        while (!stopped) {
+            const relays = options.relays();
+            if (relay !== undefined && !relays.some(({ id }) => id === relay!.id)) {
+                dropRelay(relay, "it is not to be followed any more");
             }
+            const candidate = choice.choose(relays, clock.now());
+            await (candidate === undefined ? delay(NO_RELAY_PAUSE_MILLISECONDS) : ask(candidate));
         }
     };
 
