Report no good answers of an upstream that are older than a restart can be

A node that was cut off reported five good answers when it was back, 5.9 s after the upstream had restarted. The owner had not heard of the restart, took the upstream for warm for 180 ms and granted the warm budget of 8 where 4 were allowed.

Ruled out: two owners (the second one only waited), credits of silent nodes (counted).

Change: a node drops good answers whose latest is older than 1.5 s (three calls to an owner); signs of trouble are still reported. Test "good answers that could not be reported for long are dropped" fails on the build before.

--- a/src/node/admission/__tests__/admission.spec.ts
+++ b/src/node/admission/__tests__/admission.spec.ts
@@ -281,3 +281,39 @@
         }
     }
 });
+
+// Guards against an owner that takes a runner for warm by answers from before a restart that it has not heard of.
+test("good answers that could not be reported for long are dropped", () => {
+    const holder = createHolder({
+        self: { id: "a", incarnation: 1 },
+        owner: () => "b",
+        ownersVersion: () => 0,
+        firstTokenLimitMilliseconds: 1500,
+        renewalMilliseconds: 1000,
+    });
+    const sent = (actions: readonly HolderAction[]) =>
+        actions.flatMap(action => (action.kind === "send" ? [action.request] : []));
+    holder.take("u", 50, 0);
+    const [asked] = sent(holder.step([], 0));
+    const grant = {
+        upstream: "u",
+        granted: quantity(2, 100),
+        contended: false,
+        warm: false,
+        wantsLoad: false,
+    };
+    const reply = { validMilliseconds: 3000, grants: [grant], refused: [] };
+    holder.step([{ kind: "replied", owner: "b", sequence: asked!.sequence, reply }], 10);
+    const first = holder.take("u", 50, 20)!;
+    const second = holder.take("u", 50, 20)!;
+    const [open] = sent(holder.step([], 1200));
+    assert.ok(open !== undefined, "a call is open while the answers come");
+    holder.giveBack(first, { succeeded: true, firstTokenMilliseconds: 1 }, 1300);
+    holder.giveBack(second, { succeeded: false }, 1300);
+    const outcomes = sent(holder.step([], 7000))
+        .flatMap(({ runners }) => runners)
+        .flatMap(({ observations }) => observations)
+        .map(({ outcome }) => outcome);
+    assert.ok(!outcomes.includes("fast"));
+    assert.ok(outcomes.length > 0, "signs of trouble are still reported");
+});
--- a/src/node/admission/constants.ts
+++ b/src/node/admission/constants.ts
@@ -54,6 +54,12 @@
 /** Milliseconds by which an observation can be late: a few renewals. */
 export const LATE_OBSERVATION_MILLISECONDS = 5000;
 
+/**
+ * Milliseconds after which good answers are not reported any more: three calls to an owner. The runner may have
+ * restarted since, and an owner that has not heard of it would take it for warm again.
+ */
+export const LATE_ANSWER_MILLISECONDS = 3 * CALL_TIMEOUT_MILLISECONDS;
+
 /** Milliseconds between confirmations of a node to the owner that a warm runner still answers fast. */
 export const CONFIRMATION_MILLISECONDS = 15_000;
 
--- a/src/node/admission/holder.ts
+++ b/src/node/admission/holder.ts
@@ -11,6 +11,7 @@
     CONFIRMATION_MILLISECONDS,
     DEMAND_MILLISECONDS,
     HEADROOM_SHARE,
+    LATE_ANSWER_MILLISECONDS,
     LATE_OBSERVATION_MILLISECONDS,
     PENDING_OBSERVATIONS,
     USUAL_TOKENS_WEIGHT,
@@ -293,8 +294,10 @@
         const want = wanted(row, now);
         row.allowance = smaller(usable(row, now), want);
         const held = larger(row.inUse, row.allowance);
-        const observations = now < row.silentUntil ? [] : row.pending;
-        row.pending = now < row.silentUntil ? row.pending : [];
+        const isLate = now - row.evidence.seenAt > LATE_ANSWER_MILLISECONDS;
+        const pending = isLate ? row.pending.filter(run => run.outcome !== "fast") : row.pending;
+        const observations = now < row.silentUntil ? [] : pending;
+        row.pending = now < row.silentUntil ? pending : [];
         if (row.warm && observations.length > 0) {
             row.silentUntil = now + CONFIRMATION_MILLISECONDS;
         }
