Extend no credit right after an interruption of its owner

Two owners were in their waiting time: one on the majority's side since 16.8 s, one that heard a majority again at 20.6 s, was cut off again at 22.0 s and meanwhile extended a credit to a node of its side. The first one ended its wait at 23.8 s, never learned of that credit and granted the whole budget. Its wait covers grants from before it took over, not later ones.

Ruled out: late good answers (that mend was in), two owners that grant at the same time (the second one only waited).

Change: an owner that hears a majority again, or was paused, extends nothing for the time in which all nodes come to see the same members (4 s), and takes no good answers as evidence in that time: they are from before. Tests: two at the owner, both fail on the build before. Cost: after such an interruption the upstreams of that owner take no new requests for 4 s; grants had ended after 3 s in any case.

--- a/src/node/admission/__tests__/admission.spec.ts
+++ b/src/node/admission/__tests__/admission.spec.ts
@@ -11,10 +11,11 @@
 import { createTicker } from "../../ticker/ticker.js";
 import { createAdmission } from "../create-admission.js";
 import { createHolder } from "../holder.js";
-import type { HolderAction } from "../holder.js";
+import type { Holder, HolderAction } from "../holder.js";
 import { NO_EVIDENCE, isWarm, observe } from "../evidence.js";
 import type { Evidence, ObservationRun } from "../evidence.js";
 import { decodeReply, decodeRequest, encodeReply, encodeRequest } from "../messages.js";
+import type { NodeRequest } from "../messages.js";
 import { createOwner } from "../owner.js";
 import type { Owner } from "../owner.js";
 import { createOwnership } from "../ownership.js";
@@ -23,11 +24,11 @@
 const quantity = (concurrency: number, memoryTokens: number) => ({ concurrency, memoryTokens });
 const invariants = createInvariants({ onViolation: () => undefined, fatal: true });
 
-function createTestOwner(budget = quantity(4, 400)): Owner {
+function createTestOwner(budget = quantity(4, 400), hearsMajority = () => true): Owner {
     return createOwner({
         budgets: () => ({ warm: budget, cold: budget }),
         ownedSince: () => 0,
-        hearsMajority: () => true,
+        hearsMajority,
         hasEnded: () => false,
         invariants,
         grantMilliseconds: 3000,
@@ -40,14 +41,23 @@
 
 let sequence = 0;
 
-/** Asks for `wanted` while holding `held`; returns what is granted. */
-function ask(owner: Owner, node: string, held: number, wanted: number, now: number, tokens = 100) {
+function requestOf(
+    node: string,
+    held: number,
+    wanted: number,
+    tokens: number,
+    observations: readonly ObservationRun[],
+): NodeRequest {
     sequence += 1;
-    const runner = { upstream: "u", isWaiting: wanted > held, observations: [] };
+    const runner = { upstream: "u", isWaiting: wanted > held, observations };
     const amounts = { held: quantity(held, held * tokens), wanted: quantity(wanted, wanted * tokens) };
-    const request = { node, incarnation: 1, sequence, runners: [{ ...runner, ...amounts }] };
+    return { node, incarnation: 1, sequence, runners: [{ ...runner, ...amounts }] };
+}
+
+/** Asks for `wanted` while holding `held`; returns what is granted. */
+function ask(owner: Owner, node: string, held: number, wanted: number, now: number, tokens = 100) {
     // The owner is cold, so that no grant is left out.
-    return owner.handle(request, now).grants[0]!.granted;
+    return owner.handle(requestOf(node, held, wanted, tokens, []), now).grants[0]!.granted;
 }
 
 // Guards against a warm verdict from answers of different starts, or from few, slow or old answers.
@@ -245,17 +255,22 @@
     assert.equal(outcomeOf({ ...observation, isCold: false }, 1500), "fast");
 });
 
-// Guards against a node that announces that it left, and so is no longer counted, while it holds credits on.
-test("a node that handed its credits back asks for none and takes none", () => {
-    const holder = createHolder({
+function createTestHolder(): Holder {
+    return createHolder({
         self: { id: "a", incarnation: 1 },
         owner: () => "b",
         ownersVersion: () => 0,
         firstTokenLimitMilliseconds: 1500,
         renewalMilliseconds: 1000,
     });
-    const sent = (actions: readonly HolderAction[]) =>
-        actions.flatMap(action => (action.kind === "send" ? [action.request] : []));
+}
+
+function sent(actions: readonly HolderAction[]): readonly NodeRequest[] {
+    return actions.flatMap(action => (action.kind === "send" ? [action.request] : []));
+}
+
+/** Lets the holder ask for the upstream `u` and grants it two credits. */
+function grantTwo(holder: Holder): void {
     assert.equal(holder.take("u", 50, 0), undefined);
     const [asked] = sent(holder.step([], 0));
     const grant = {
@@ -267,6 +282,12 @@
     };
     const reply = { validMilliseconds: 3000, grants: [grant], refused: [] };
     holder.step([{ kind: "replied", owner: "b", sequence: asked!.sequence, reply }], 10);
+}
+
+// Guards against a node that announces that it left, and so is no longer counted, while it holds credits on.
+test("a node that handed its credits back asks for none and takes none", () => {
+    const holder = createTestHolder();
+    grantTwo(holder);
     const credit = holder.take("u", 50, 20)!;
     const [returned] = sent(holder.handBack(30));
     assert.deepEqual(returned!.runners[0]!.held, quantity(1, 50), "what is in use stays counted");
@@ -284,26 +305,8 @@
 
 // Guards against an owner that takes a runner for warm by answers from before a restart that it has not heard of.
 test("good answers that could not be reported for long are dropped", () => {
-    const holder = createHolder({
-        self: { id: "a", incarnation: 1 },
-        owner: () => "b",
-        ownersVersion: () => 0,
-        firstTokenLimitMilliseconds: 1500,
-        renewalMilliseconds: 1000,
-    });
-    const sent = (actions: readonly HolderAction[]) =>
-        actions.flatMap(action => (action.kind === "send" ? [action.request] : []));
-    holder.take("u", 50, 0);
-    const [asked] = sent(holder.step([], 0));
-    const grant = {
-        upstream: "u",
-        granted: quantity(2, 100),
-        contended: false,
-        warm: false,
-        wantsLoad: false,
-    };
-    const reply = { validMilliseconds: 3000, grants: [grant], refused: [] };
-    holder.step([{ kind: "replied", owner: "b", sequence: asked!.sequence, reply }], 10);
+    const holder = createTestHolder();
+    grantTwo(holder);
     const first = holder.take("u", 50, 20)!;
     const second = holder.take("u", 50, 20)!;
     const [open] = sent(holder.step([], 1200));
@@ -317,3 +320,32 @@
     assert.ok(!outcomes.includes("fast"));
     assert.ok(outcomes.length > 0, "signs of trouble are still reported");
 });
+
+// Guards against a credit that one owner extends while another one, which does not know of it, waits for its end.
+test("an owner that was out of contact extends nothing until all nodes agree on the owner", () => {
+    let hears = true;
+    const owner = createTestOwner(quantity(4, 400), () => hears);
+    owner.advance(20_000);
+    assert.deepEqual(ask(owner, "a", 0, 1, 20_000), quantity(1, 100));
+    hears = false;
+    owner.advance(25_000);
+    hears = true;
+    assert.deepEqual(ask(owner, "a", 1, 1, 26_000), quantity(0, 0));
+    assert.deepEqual(ask(owner, "a", 1, 1, 28_900), quantity(0, 0));
+    assert.deepEqual(ask(owner, "a", 1, 1, 29_100), quantity(1, 100), "extends again");
+    assert.deepEqual(ask(owner, "a", 1, 2, 31_000), quantity(1, 100), "grants nothing new yet");
+});
+
+// Guards against an owner that takes a runner for warm by answers from before it was out of contact.
+test("an owner that was out of contact starts with a cold runner", () => {
+    let hears = true;
+    const owner = createTestOwner(quantity(4, 400), () => hears);
+    hears = false;
+    owner.advance(25_000);
+    hears = true;
+    const fast = { outcome: "fast", count: 5, bootId: "x" } as const;
+    owner.handle(requestOf("a", 0, 1, 100, [fast]), 26_000);
+    assert.equal(owner.isWarm("u", 26_000), false);
+    owner.handle(requestOf("a", 0, 1, 100, [fast]), 29_100);
+    assert.equal(owner.isWarm("u", 29_100), true);
+});
--- a/src/node/admission/owner.ts
+++ b/src/node/admission/owner.ts
@@ -15,6 +15,8 @@
  * - An owner that starts, takes over a runner, hears a majority again or was paused forgets its counts and
  *   waits for the longest grant plus the time in which all nodes see the same members. Meanwhile it only
  *   extends, and counts, what nodes hold already.
+ * - An owner that hears a majority again, or was paused, may have been replaced. It extends nothing until all
+ *   nodes see the same members, because the other owner waits only for grants from before it took over.
  *
  * The sum over nodes therefore stays within the budget provided that
  *
@@ -139,6 +141,8 @@
     let cleanedAt = options.startedAt;
     /** Since when this node has run without a pause and has heard a majority. */
     let steadySince = options.startedAt;
+    /** Until when another owner may go by a view in which this node is not the owner. */
+    let replacedUntil = -Infinity;
 
     const budgetInForce = (upstream: string, row: RunnerRow, now: number): Quantity => {
         const budgets = options.budgets(upstream);
@@ -275,7 +279,10 @@
         }
         const wasWarm = isWarm(row.evidence, now);
         for (const run of request.observations) {
-            row.evidence = observe(row.evidence, run, now);
+            // While nothing is extended nothing new runs, so good answers are from before the interruption.
+            if (run.outcome !== "fast" || now >= replacedUntil) {
+                row.evidence = observe(row.evidence, run, now);
+            }
         }
         if (isWarm(row.evidence, now) !== wasWarm) {
             options.onTemperature?.(upstream, !wasWarm, row.evidence.bootId);
@@ -309,7 +316,8 @@
         const room = subtract(budget, subtract(total(row), held));
         const { credits, hasLeftOver } = fairShare(sender.node, demands, budgetInCredits(budget, demand));
         const share = shareOf(wanted, credits, room);
-        const granted = isWaiting ? smaller(share, held) : share;
+        const extended = now < replacedUntil ? NOTHING : smaller(share, held);
+        const granted = isWaiting ? extended : share;
         row.nodes.set(sender.node, {
             ...row.nodes.get(sender.node)!,
             counted: larger(held, granted),
@@ -332,6 +340,7 @@
     const advance = (now: number): void => {
         if (now - lastStepAt > options.pauseMilliseconds || !options.hearsMajority(now)) {
             steadySince = now;
+            replacedUntil = now + options.viewLagMilliseconds;
         }
         lastStepAt = now;
         if (now - cleanedAt > CLEANING_MILLISECONDS) {
