Keep a large configuration within its bound on slow links

The configuration grows to 1,718 routes, one row of 0.55 MB. The limit of 900 ms on a whole call to the store or a relay ended each transfer over a slow link, and each try began anew. Followers of a slow relay lost it at the same moment, because it sent 0.55 MB to each of them.

Change: calls are limited by silence and by progress (4 KB in 0.9 s), not as a whole. Peers send each other large rows compressed, once per row (27 KB instead of 0.55 MB). The nodes with the fastest links are the readers and relays. A response names the nodes between the relay and the store, so that nodes of two versions with different orders do not follow each other.

--- a/src/node/peers/http-peers.ts
+++ b/src/node/peers/http-peers.ts
@@ -6,7 +6,8 @@
 import type { AddressInfo } from "node:net";
 import { JSONRPCErrorException, JSONRPCServer, createJSONRPCRequest, isJSONRPCResponse } from "json-rpc-2.0";
 import type { JSONRPCID, JSONRPCRequest } from "json-rpc-2.0";
-import { Agent, request } from "undici";
+import { Agent } from "undici";
+import { callHttp } from "../common/http-call.js";
 import type { JsonValue } from "../common/json.js";
 import { sha256 } from "../common/hash.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
@@ -156,19 +157,18 @@
 
     const post = async (address: string, body: string, timeout: number): Promise<string> => {
         try {
-            const response = await request(address, {
+            const { status, text } = await callHttp(address, {
                 method: "POST",
                 body,
                 headers: { "content-type": "application/json", [KEY_HEADER]: options.key },
                 dispatcher: agent,
-                signal: AbortSignal.timeout(timeout),
+                headMilliseconds: timeout,
             });
-            const text = await response.body.text();
             traffic.receivedBytes += text.length;
-            if (response.statusCode === 200) {
+            if (status === 200) {
                 return text;
             }
-            throw new PeerError(`peer ${address} answered status ${response.statusCode}`, "not-run");
+            throw new PeerError(`peer ${address} answered status ${status}`, "not-run");
         }
         catch (error) {
             if (error instanceof PeerError) {
--- a/src/node/peers/peers.ts
+++ b/src/node/peers/peers.ts
@@ -23,6 +23,7 @@
      * Calls a method of a peer.
      *
      * @param address Base URL of the HTTP server of the peer.
+     * @param timeoutMilliseconds Time until the response begins. It is then read while its bytes keep arriving.
      * @throws PeerError
      */
     call(
--- a/src/node/replica/__tests__/relays.spec.ts
+++ b/src/node/replica/__tests__/relays.spec.ts
@@ -14,7 +14,7 @@
 import type { RowChange } from "../row-replica.js";
 import type { SharedStore } from "../shared-store.js";
 import { createStoreSync } from "../store-sync.js";
-import type { StoreSync } from "../store-sync.js";
+import type { Relay, StoreSync } from "../store-sync.js";
 
 /** Time limit for a change to reach every node, milliseconds: the shortest one stated for a configuration. */
 const APPLY_MILLISECONDS = 2000;
@@ -49,6 +49,7 @@
     size: number,
     dataCentres: number,
     isEmpty = false,
+    relays: (self: Relay, nodes: readonly Relay[]) => readonly Relay[] = relaysOf,
 ): Promise<Fleet> {
     context.mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"] });
     let entries = Array.from({ length: size }, (_, index) => ({
@@ -132,13 +133,15 @@
             replicas,
             clock,
             isCurrent: () => sync.isCurrent(),
+            path: () => sync.path(),
             clockOffset: () => sync.clockOffset(),
         });
         const sync = createStoreSync({
+            node: entry.id,
             store: createStore(() => node),
             replicas,
             exchange,
-            relays: () => relaysOf(entry, entries),
+            relays: () => relays(entry, entries),
             clock,
             lifecycle,
             logger: silentLogging("store"),
@@ -190,8 +193,12 @@
 test("relays form no cycle when nodes have different lists of nodes", () => {
     const names = fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 1, maxLength: 8 });
     fc.assert(
-        fc.property(names, fc.array(fc.nat(255)), (ids, views) => {
-            const nodes = ids.map(id => ({ id, dataCentre: "d" }));
+        fc.property(names, fc.array(fc.nat(255)), fc.array(fc.nat(2)), (ids, views, links) => {
+            const nodes = ids.map((id, index) => ({
+                id,
+                dataCentre: "d",
+                linkMegabitsPerSecond: links[index],
+            }));
             const follows = new Map(
                 nodes.map((node, index) => {
                     const view = nodes.filter((_, other) => ((views[index] ?? 255) >> other) & 1);
@@ -212,6 +219,20 @@
     }
 });
 
+test("the nodes with the fastest links are the relays", () => {
+    const links = [10, 140, 7, 200, 10, 200];
+    const nodes = links.map((linkMegabitsPerSecond, index) => ({
+        id: `n${index}`,
+        dataCentre: "d",
+        linkMegabitsPerSecond,
+    }));
+    const linksOfRelays = (index: number): readonly number[] =>
+        relaysOf(nodes[index]!, nodes).map(relay => relay.linkMegabitsPerSecond);
+    assert.deepEqual(linksOfRelays(2), [200, 200, 140]);
+    assert.deepEqual(linksOfRelays(1), [200, 200]);
+    assert.equal(linksOfRelays(3).length + linksOfRelays(5).length, 1, "one of the fastest reads the store");
+});
+
 test("the number of calls to the store does not grow with the number of nodes", async context => {
     const fleet = await createFleet(context, 40, 4);
     await fleet.advance(5000);
@@ -291,6 +312,19 @@
     assert.equal(other!.sync.relay(), undefined);
 });
 
+// Nodes of two versions with different orders of relays run at the same time during an upgrade.
+test("two nodes do not follow each other when they order relays differently", async context => {
+    const fleet = await createFleet(context, 2, 1, false, (self, nodes) =>
+        nodes.filter(node => node.id !== self.id),
+    );
+    for (let phase = 0; phase < 2000; phase += 200) {
+        await fleet.advance(5000 + phase);
+        fleet.write(`${phase}`);
+        await fleet.advance(APPLY_MILLISECONDS);
+        assert.deepEqual(valuesOf(fleet.nodes), [`${phase}`]);
+    }
+});
+
 test("nodes behind a relay detect that the store is unreachable", async context => {
     const fleet = await createFleet(context, 12, 2);
     await fleet.advance(5000);
--- a/src/node/replica/row-exchange.ts
+++ b/src/node/replica/row-exchange.ts
@@ -1,4 +1,5 @@
 /** Peer calls that read the tables of another node, immediately or as long polls that wait for a change. */
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import type { Clock } from "../common/clock.js";
 import type { JsonValue } from "../common/json.js";
 import type { Peers } from "../peers/peers.js";
@@ -12,11 +13,22 @@
 /** Upper limit of `waitMilliseconds`, milliseconds. */
 const MAXIMUM_WAIT_MILLISECONDS = 5000;
 
+/** Size from which values are compressed, characters. A relay sends a configuration to many nodes at once. */
+const MINIMUM_COMPRESSED_LENGTH = 4096;
+
+/** Compression level: the fastest. Higher levels save few bytes of a configuration. */
+const COMPRESSION_LEVEL = 1;
+
+/** Marks a value as compressed with deflate and encoded in Base64. */
+const COMPRESSED = 1;
+
+/** Key, revision and value of a row; the value is missing when the row was removed. */
+type WireRow = readonly [key: string, revision: number, value?: string, encoding?: typeof COMPRESSED];
+
 interface WireChangeSet {
     readonly revision: number;
     readonly complete: boolean;
-    /** Key, revision and value of each row; the value is missing when the row was removed. */
-    readonly rows: readonly (readonly [string, number, string?])[];
+    readonly rows: readonly WireRow[];
 }
 
 interface WireRequest {
@@ -24,10 +36,14 @@
     readonly since: Readonly<Record<TableName, number>>;
     /** Maximum time to wait for changes, milliseconds. 0 requests an immediate response. */
     readonly waitMilliseconds: number;
+    /** Whether the calling node reads compressed values. Nodes of earlier versions do not. */
+    readonly acceptsCompressed?: boolean;
 }
 
 interface WireResponse {
     readonly isCurrent: boolean;
+    /** Nodes between the caller and the store, the responding one first. Earlier versions do not send it. */
+    readonly path?: readonly string[];
     readonly storeMilliseconds?: number;
     readonly tables: Partial<Record<TableName, WireChangeSet>>;
 }
@@ -36,6 +52,8 @@
 export interface PeerResponse {
     /** Whether the peer is connected to the store, directly or through a relay. */
     readonly isCurrent: boolean;
+    /** Nodes between this node and the store, the peer first; `undefined` for a peer of an earlier version. */
+    readonly path: readonly string[] | undefined;
     /** Offset of the store's clock from the monotonic clock as estimated by the peer, milliseconds. */
     readonly clockOffset: number | undefined;
     /** Tables in which the read changed rows. */
@@ -55,22 +73,55 @@
     readonly clock: Clock;
     /** Whether this node is connected to the store, directly or through a relay. */
     readonly isCurrent: () => boolean;
+    /** Ids of the nodes through which this node reads the store, itself first. */
+    readonly path: () => readonly string[];
     readonly clockOffset: () => number | undefined;
 }
 
-function encode(changes: ChangeSet): WireChangeSet {
+/** Compressed values of large rows, kept as long as the rows. All followers of a node share them. */
+const compressedValues = new WeakMap<RowChange, string>();
+
+function compressedValueOf(row: RowChange, value: string): string {
+    const known = compressedValues.get(row);
+    if (known !== undefined) {
+        return known;
+    }
+    const compressed = deflateRawSync(value, { level: COMPRESSION_LEVEL }).toString("base64");
+    compressedValues.set(row, compressed);
+    return compressed;
+}
+
+function encodeRow(row: RowChange, acceptsCompressed: boolean): WireRow {
+    const { key, revision, value } = row;
+    if (value === undefined) {
+        return [key, revision];
+    }
+    return acceptsCompressed && value.length >= MINIMUM_COMPRESSED_LENGTH
+        ? [key, revision, compressedValueOf(row, value), COMPRESSED]
+        : [key, revision, value];
+}
+
+function decodeRow([key, revision, value, encoding]: WireRow): RowChange {
+    return {
+        key,
+        revision,
+        value:
+            value !== undefined && encoding === COMPRESSED
+                ? inflateRawSync(Buffer.from(value, "base64")).toString("utf8")
+                : value,
+    };
+}
+
+function encode(changes: ChangeSet, acceptsCompressed: boolean): WireChangeSet {
     return {
         revision: changes.revision,
         complete: changes.complete,
-        rows: changes.rows.map(row =>
-            row.value === undefined ? [row.key, row.revision] : [row.key, row.revision, row.value],
-        ),
+        rows: changes.rows.map(row => encodeRow(row, acceptsCompressed)),
     };
 }
 
 function decode(changes: WireChangeSet): ChangeSet {
-    const rows = changes.rows.map(([key, revision, value]): RowChange => ({ key, revision, value }));
-    return { revision: changes.revision, complete: changes.complete, rows };
+    return { revision: changes.revision, complete: changes.complete, rows: changes.rows.map(decodeRow) };
 }
 
 export function createRowExchange(options: RowExchangeOptions): RowExchange {
@@ -102,12 +153,12 @@
             waiting.add(end);
         });
 
-    const createResponse = ({ since }: WireRequest): WireResponse => {
+    const createResponse = ({ since, acceptsCompressed }: WireRequest): WireResponse => {
         const tables: Partial<Record<TableName, WireChangeSet>> = {};
         for (const table of TABLE_NAMES) {
             const replica = replicas[table];
             if (changedRevision[table] > since[table]) {
-                tables[table] = encode(replica.changesSince(since[table]));
+                tables[table] = encode(replica.changesSince(since[table]), acceptsCompressed === true);
             }
             else if (replica.revision > since[table]) {
                 tables[table] = { revision: replica.revision, complete: false, rows: [] };
@@ -116,6 +167,7 @@
         const offset = options.clockOffset();
         return {
             isCurrent: options.isCurrent(),
+            path: options.path(),
             ...(offset === undefined ? {} : { storeMilliseconds: clock.now() + offset }),
             tables,
         };
@@ -142,7 +194,7 @@
     return {
         readFrom: async (address, waitMilliseconds, timeoutMilliseconds) => {
             const since = Object.fromEntries(TABLE_NAMES.map(table => [table, replicas[table].revision]));
-            const request = { since, waitMilliseconds };
+            const request = { since, waitMilliseconds, acceptsCompressed: true };
             const response = (await peers.call(
                 address,
                 METHOD,
@@ -152,6 +204,7 @@
             const { storeMilliseconds } = response;
             return {
                 isCurrent: response.isCurrent,
+                path: response.path,
                 clockOffset: storeMilliseconds === undefined ? undefined : storeMilliseconds - clock.now(),
                 changed: applyTables(response.tables),
             };
--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -10,7 +10,7 @@
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
 import type { RelayCandidate } from "./relay-choice.js";
-import type { RowExchange } from "./row-exchange.js";
+import type { PeerResponse, RowExchange } from "./row-exchange.js";
 import type { RowReplica } from "./row-replica.js";
 import { TABLE_NAMES } from "./shared-store.js";
 import type { SharedStore, TableName } from "./shared-store.js";
@@ -70,9 +70,13 @@
     clockOffset(): number | undefined;
     /** Id of the relay; `undefined` while this node reads the store itself. */
     relay(): string | undefined;
+    /** Ids of the nodes through which this node reads the store, itself first. */
+    path(): readonly string[];
 }
 
 export interface StoreSyncOptions {
+    /** Id of this node. */
+    readonly node: string;
     readonly store: SharedStore;
     readonly replicas: Replicas;
     readonly exchange: Pick<RowExchange, "readFrom" | "completeWaitingCalls">;
@@ -93,6 +97,7 @@
     const avoidedUntil = new Map<string, number>();
     let relay: Relay | undefined;
     let relayClockOffset: number | undefined;
+    let relayPath: readonly string[] = [];
     let wakeReaders: (() => void)[] = [];
     let reconnectedAt: number | undefined;
     let disconnectedAt: number | undefined;
@@ -190,17 +195,30 @@
         }
     };
 
+    /** Two nodes that follow each other would both take themselves for current, so a path must not return. */
+    const unusableReason = ({ isCurrent, path }: PeerResponse): string | undefined => {
+        if (!isCurrent) {
+            return "it has lost the store";
+        }
+        if (path === undefined) {
+            return "it orders relays by the rules of an earlier version";
+        }
+        return path.includes(options.node) ? "it follows this node" : undefined;
+    };
+
     /** Reads changes from a node, and uses it as the relay when it is connected to the store. */
     const pollRelay = async (candidate: Relay): Promise<void> => {
         try {
             const wait = relay?.id === candidate.id ? RELAY_WAIT_MILLISECONDS : 0;
             const response = await exchange.readFrom(candidate.peerAddress, wait, RELAY_TIMEOUT_MILLISECONDS);
-            if (response.isCurrent) {
+            const reason = unusableReason(response);
+            if (reason === undefined) {
                 relayClockOffset = response.clockOffset;
+                relayPath = response.path!;
                 follow(candidate);
             }
             else {
-                recordRelayFailure(candidate, "it has lost the store", DISCONNECTED_RELAY_PAUSE_MILLISECONDS);
+                recordRelayFailure(candidate, reason, DISCONNECTED_RELAY_PAUSE_MILLISECONDS);
             }
         }
         catch (error) {
@@ -237,5 +255,6 @@
         reconnectedAt: () => reconnectedAt,
         clockOffset: () => (relay === undefined ? store.clockOffset() : undefined) ?? relayClockOffset,
         relay: () => relay?.id,
+        path: () => (relay === undefined ? [options.node] : [options.node, ...relayPath]),
     };
 }
--- a/src/node/router/node-list.ts
+++ b/src/node/router/node-list.ts
@@ -12,6 +12,8 @@
     readonly peerAddress: string;
     /** IP address for load reports. */
     readonly address: string;
+    /** Capacity of the node's link, Mbit/s; `undefined` when the settings do not state it. */
+    readonly linkMegabitsPerSecond?: number;
 }
 
 export interface NodeList {
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -119,9 +119,11 @@
         replicas,
         clock,
         isCurrent: () => sync.isCurrent(),
+        path: () => sync.path(),
         clockOffset: () => sync.clockOffset(),
     });
     const sync = createStoreSync({
+        node: config.node.id,
         store: adapter.store,
         replicas,
         exchange,
@@ -136,6 +138,7 @@
             dataCentre: config.node.dataCentre,
             peerAddress: `http://${config.peers.listen}`,
             address: splitEndpoint(config.loads.listen).address,
+            linkMegabitsPerSecond: config.node.linkMegabitsPerSecond,
         },
         replica: replicas.nodes,
         store: adapter.store,
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -25,6 +25,8 @@
     node: z.strictObject({
         id: z.string().check(z.minLength(1)),
         dataCentre: z.string().check(z.minLength(1)),
+        /** Capacity of the VM's link, Mbit/s. Nodes with the fastest links relay changes to the others. */
+        linkMegabitsPerSecond: z.optional(positive),
     }),
     callers: z.strictObject({
         listen: endpoint,
