Bound what an upstream in trouble can send, and send nothing for callers that left

Ruled out: answers that break off at any byte of head, chunk, trailer or event (with a close or a reset, on a kept or a closing connection, below and above the buffer) never look complete; named copies were rejected before; a planned stop under load answers every accepted request, half-read bodies included.

Change: bytes without a head or a part of a body are limited for each connection; error bodies are limited and count as lost, final ones are passed on; the rest of a rejection is read within 16 KB and 0.5 s; the gap of a stream restarts with events only; each response must name its request; a plain answer that stops after its head may move to another upstream; before each send the event loop reads all sockets once more and the caller and the deadline are checked. Buffered answers and events shrink to 64 and 128 KB.

--- a/src/node/common/clock.ts
+++ b/src/node/common/clock.ts
@@ -18,3 +18,12 @@
 export function delay(milliseconds: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
+
+/**
+ * Resolves after the event loop has read all sockets once more. Connections that their peers closed while the
+ * process was held up are known as closed then.
+ */
+export function nextPoll(): Promise<void> {
+    // The first callback follows the poll phase that is under way, the second one the phase after it.
+    return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -50,9 +50,12 @@
     readonly tryEscalate: (confidence: number | undefined) => boolean;
     /** Connection timeout, milliseconds. */
     readonly connectMilliseconds: number;
-    /** Time to wait for the response headers before the upstream counts as hung, milliseconds. */
+    /**
+     * Time to wait for the response headers before the upstream counts as hung, and after them for the rest of
+     * a response that is not a stream, milliseconds.
+     */
     readonly headMilliseconds: number | undefined;
-    /** Time without data on a stream after which the upstream counts as hung, milliseconds. */
+    /** Time without a new event on a stream after which the upstream counts as hung, milliseconds. */
     readonly gapMilliseconds: number | undefined;
     /** Time until the deadline of the request, milliseconds. */
     readonly remainingMilliseconds: number;
@@ -63,8 +66,17 @@
     readonly onHead?: (head: ResponseHead) => void;
 }
 
-/** Maximum size of a buffered response, bytes. A larger successful one is forwarded as it arrives. */
-const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
+/**
+ * Maximum size of a buffered response, bytes. A larger one is forwarded as it arrives if nothing can replace
+ * it, and counts as lost otherwise.
+ */
+const MAXIMUM_BUFFERED_BYTES = 64 * 1024;
+
+/** Maximum size of the rest of a rejection that is read so that its connection can be reused, bytes. */
+const MAXIMUM_DISCARDED_BYTES = 16 * 1024;
+
+/** Maximum time to read the rest of a rejection, milliseconds. */
+const DISCARD_MILLISECONDS = 500;
 
 const HTTP_MISDIRECTED = 421;
 
@@ -79,6 +91,11 @@
     return status >= 200 && status < 300;
 }
 
+/** Whether a response of the status reaches the caller in any case: another attempt would not change it. */
+function isFinal(status: number): boolean {
+    return status < 500 && !signalsNotRun(status);
+}
+
 /** Whether the end of a response can be distinguished from the end of its connection. */
 export function hasBodyFraming(headers: IncomingHttpHeaders): boolean {
     return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
@@ -93,15 +110,16 @@
     if (head.attemptId !== undefined && head.attemptId !== attemptId) {
         return "the answer belongs to another request";
     }
+    // A response without an id may be a late copy of one to an earlier request on the connection.
+    if (head.attemptId === undefined && attemptId !== undefined) {
+        return "the answer names no request";
+    }
     if (!isSuccess(status)) {
         return undefined;
     }
     if (!head.isSigned) {
         return "the answer has no signature";
     }
-    if (head.attemptId === undefined && attemptId !== undefined) {
-        return "the answer names no request";
-    }
     return head.isEncoded ? "the body is encoded" : undefined;
 }
 
@@ -113,10 +131,11 @@
         let started = false;
         let status = 0;
         let headers: IncomingHttpHeaders = {};
-        let mode: "waiting" | "stream" | "buffer" | "pass" = "waiting";
+        let mode: "waiting" | "stream" | "buffer" | "pass" | "discard" = "waiting";
         let chunks: Buffer[] = [];
         let size = 0;
         let gapTimer: NodeJS.Timeout | undefined;
+        let discardTimer: NodeJS.Timeout | undefined;
         const timers: NodeJS.Timeout[] = [];
 
         const finish = (result: AttemptResult): void => {
@@ -157,6 +176,12 @@
             }
         };
 
+        /** Reads the rest of a response that is not used, within bounds, so that its connection can be reused. */
+        const discardRest = (): void => {
+            mode = "discard";
+            discardTimer = setTimeout(() => exchange?.cancel(), DISCARD_MILLISECONDS);
+        };
+
         const forward = (data: Buffer): void => {
             if (!sink.write(data)) {
                 clearTimeout(gapTimer);
@@ -183,6 +208,7 @@
                 return;
             }
             if (status === HTTP_MISDIRECTED || head.isNotRun) {
+                discardRest();
                 finish({
                     kind: "not-run",
                     reason: `upstream answered ${status}`,
@@ -202,16 +228,40 @@
             else if (sink.hasBegun()) {
                 cancel({ kind: "lost", reason: `upstream answered ${status} to a resumed stream` });
             }
+            else if (options.headMilliseconds !== undefined) {
+                bodyTimer = cancelAfter(options.headMilliseconds, () => ({
+                    kind: "lost",
+                    reason: "the answer stopped after its headers",
+                }));
+            }
+        };
+
+        const passOn = (data: Buffer): void => {
+            mode = "pass";
+            clearTimeout(bodyTimer);
+            sink.beginPlain(status, headers);
+            forward(data);
         };
 
         const onChunk = (chunk: Buffer): void => {
+            if (mode === "discard") {
+                size += chunk.length;
+                if (size > MAXIMUM_DISCARDED_BYTES) {
+                    exchange?.cancel();
+                }
+                return;
+            }
             if (settled) {
                 return;
             }
             if (mode === "stream") {
-                restartGapTimer();
                 try {
+                    const eventsBefore = sink.eventCount();
                     const events = sink.extractNewEvents(chunk);
+                    // Comments and parts of an event do not show that the upstream makes progress.
+                    if (sink.eventCount() > eventsBefore) {
+                        restartGapTimer();
+                    }
                     if (events !== undefined) {
                         forward(events);
                     }
@@ -227,15 +277,20 @@
             }
             chunks.push(chunk);
             size += chunk.length;
-            if (size > MAXIMUM_BUFFERED_BYTES && isSuccess(status)) {
-                mode = "pass";
-                sink.beginPlain(status, headers);
-                forward(Buffer.concat(chunks));
+            if (size > MAXIMUM_BUFFERED_BYTES) {
+                const data = Buffer.concat(chunks);
                 chunks = [];
+                if (isFinal(status)) {
+                    passOn(data);
+                }
+                else {
+                    cancel({ kind: "lost", reason: `the body of the ${status} is too large` });
+                }
             }
         };
 
         const onEnd = (): void => {
+            clearTimeout(discardTimer);
             if (settled) {
                 return;
             }
@@ -263,7 +318,7 @@
                 finish({ kind: "failed", reason: "the end of the answer is not certain", response });
                 return;
             }
-            if (isSuccess(status) || (status < 500 && !signalsNotRun(status))) {
+            if (isFinal(status)) {
                 sink.sendBuffered(response);
                 finish({ kind: "delivered", status });
                 return;
@@ -272,6 +327,7 @@
         };
 
         const onFailure = (verdict: string, reason: string): void => {
+            clearTimeout(discardTimer);
             finish(verdict === "not-run" ? { kind: "not-run", reason } : { kind: "lost", reason });
         };
 
@@ -282,6 +338,7 @@
         }));
         const connectTimer = timers.at(-1);
         let headTimer: NodeJS.Timeout | undefined;
+        let bodyTimer: NodeJS.Timeout | undefined;
         options.callerLeft.addEventListener("abort", onCallerLeft);
 
         exchange = options.send(options.request, {
--- a/src/node/forwarding/event-splitter.ts
+++ b/src/node/forwarding/event-splitter.ts
@@ -1,7 +1,7 @@
 /** Splits an event stream into events and tracks their ids, so that a broken stream can be resumed. */
 
 /** Maximum size of an event, bytes. A larger event counts as a broken stream. */
-const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+const MAXIMUM_EVENT_BYTES = 128 * 1024;
 
 const EVENT_END = "\n\n";
 
@@ -22,7 +22,7 @@
     push(chunk: Buffer): Buffer | undefined;
     /** Id of the last event returned. */
     lastEventId(): string | undefined;
-    /** Number of events returned. */
+    /** Number of events returned, without blocks that hold only comments. */
     eventCount(): number;
     /** Size of the incomplete event, bytes. */
     pendingBytes(): number;
@@ -35,6 +35,11 @@
     return match?.[1];
 }
 
+/** Whether a block has a field, and not only comments and empty lines. */
+function hasField(block: string): boolean {
+    return /^[^:\n]/m.test(block);
+}
+
 /** @param resumeFrom Id of the last event that the caller has received. */
 export function createEventSplitter(resumeFrom?: string): EventSplitter {
     let pending = "";
@@ -66,7 +71,7 @@
             const wholeEvents = pending.slice(0, end);
             pending = pending.slice(end + EVENT_END.length);
             const newEvents = wholeEvents.split(EVENT_END).filter(isNew);
-            count += newEvents.length;
+            count += newEvents.filter(hasField).length;
             return newEvents.length === 0
                 ? undefined
                 : Buffer.from(newEvents.map(event => event + EVENT_END).join(""), "latin1");
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -176,9 +176,13 @@
             throw new RequestRejection(HTTP_UNAVAILABLE, `service "${serviceName}" is not declared`, 1);
         }
         const callerLeft = new AbortController();
+        const leave = (): void => callerLeft.abort();
+        // A caller that closes its side of the connection gets no response from Node.js either.
+        message.socket.once("end", leave);
         response.once("close", () => {
+            message.socket.off("end", leave);
             if (!response.writableFinished) {
-                callerLeft.abort();
+                leave();
             }
         });
         const body = await readBody(message, limits.maximumBodyBytes);
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -1,5 +1,6 @@
 /** Forwards a caller's request: makes attempts at upstreams until one delivers a response or retries end. */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import { nextPoll } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { RequestTrace } from "../logging/request-log.js";
@@ -326,8 +327,24 @@
             return !request.callerLeft.aborted;
         };
 
+        /**
+         * Returns why a request must not be sent any more. A node that was held up reads requests whose callers
+         * have already left, and their closed connections after them.
+         */
+        const reasonNotToSend = async (): Promise<NextStep | undefined> => {
+            await nextPoll();
+            if (request.callerLeft.aborted) {
+                return { kind: "caller-left" };
+            }
+            return clock.now() >= deadline ? { kind: "timed-out" } : undefined;
+        };
+
         const runAttempts = async (): Promise<NextStep> => {
             for (;;) {
+                const end = await reasonNotToSend();
+                if (end !== undefined) {
+                    return end;
+                }
                 let choice = nextChoice();
                 if (choice === undefined && executions === 0 && (await waitForCapacity())) {
                     excluded.clear();
--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -1,5 +1,6 @@
 /** Sends requests to upstreams over HTTP with undici and reports whether a failed request may have run. */
 import type { IncomingHttpHeaders } from "node:http";
+import { Socket } from "node:net";
 import { Agent, buildConnector } from "undici";
 import type { Dispatcher } from "undici";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
@@ -61,35 +62,87 @@
 /** Margin by which an idle connection is closed before the keep-alive timeout that the upstream announces. */
 const KEEP_ALIVE_MARGIN_MILLISECONDS = 700;
 
+/** Lower statuses belong to informational heads, which precede the head of the response. */
+const HTTP_OK = 200;
+
 /** Error code for a connection that the upstream reset. */
 const RESET_CODE = "UPSTREAM_RESET";
 
 /**
- * Creates a connector that replaces the error code of connection resets. undici treats a reset as the regular
- * end of a response without a length, so a truncated response would appear complete.
+ * Bytes that may arrive on a connection without a response head or a part of a body among them, bytes. Exceeds
+ * the largest head and the read buffers of a connection that is paused.
+ */
+const MAXIMUM_STRAY_BYTES = 256 * 1024;
+
+/** Counts the bytes on a connection that belong to no response. */
+interface StrayByteCount {
+    /** Records that a head or a part of a body was read. */
+    reset(): void;
+}
+
+/** Sees the connections of an agent. */
+interface ConnectionWatch {
+    readonly connect: buildConnector.connector;
+    /** Connection whose bytes are being read; only meaningful in a callback of undici that reads a head. */
+    current(): StrayByteCount | undefined;
+}
+
+/**
+ * Creates a connector with two additions to undici's:
+ *
+ * - It replaces the error code of connection resets. undici treats a reset as the regular end of a response
+ *   without a length, so a truncated response would appear complete.
+ * - It closes a connection on which bytes that are no response arrive without end: status lines, informational
+ *   heads, empty lines, chunk extensions. undici limits only the header fields.
  */
-function createConnector(): buildConnector.connector {
+function createConnectionWatch(): ConnectionWatch {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
-    return (options, callback) => {
-        connect(options, (...result) => {
-            const [, socket] = result;
-            socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
-                error.code = error.code === "ECONNRESET" ? RESET_CODE : error.code;
-            });
-            callback(...result);
+    let current: StrayByteCount | undefined;
+
+    const watch = (socket: Socket): void => {
+        let bytesAtReset = 0;
+        const count: StrayByteCount = {
+            reset: () => {
+                bytesAtReset = socket.bytesRead;
+            },
+        };
+        socket.prependListener("error", (error: NodeJS.ErrnoException) => {
+            error.code = error.code === "ECONNRESET" ? RESET_CODE : error.code;
+        });
+        // undici reads in its own listener for this event, directly after this one.
+        socket.prependListener("readable", () => {
+            current = count;
+            if (socket.bytesRead - bytesAtReset > MAXIMUM_STRAY_BYTES) {
+                socket.destroy(new Error(`${MAXIMUM_STRAY_BYTES} bytes arrived without an answer`));
+            }
         });
     };
+
+    return {
+        connect: (options, callback) => {
+            connect(options, (...result) => {
+                const [, socket] = result;
+                // A failed connection has no socket.
+                if (socket instanceof Socket) {
+                    watch(socket);
+                }
+                callback(...result);
+            });
+        },
+        current: () => current,
+    };
 }
 
 export function createHttpSend(lifecycle: Lifecycle): UpstreamSend {
+    const connections = createConnectionWatch();
     const pooledAgent = new Agent({
         pipelining: 1,
-        connect: createConnector(),
+        connect: connections.connect,
         keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MILLISECONDS,
     });
     // With `pipelining: 0`, undici closes each connection after the first response.
-    const singleUseAgent = new Agent({ pipelining: 0, connect: createConnector() });
+    const singleUseAgent = new Agent({ pipelining: 0, connect: connections.connect });
     lifecycle.add({
         name: "upstream connections",
         start: () => async () => {
@@ -102,6 +155,7 @@
         let controller: Dispatcher.DispatchController | undefined;
         let cancelled = false;
         let writeStarted = false;
+        let strayBytes: StrayByteCount | undefined;
         const fail = (error: Error): void => {
             handlers.onFailure(writeStarted ? "may-have-run" : "not-run", error.message);
         };
@@ -127,8 +181,17 @@
                     writeStarted = true;
                     handlers.onStart?.();
                 },
-                onResponseStart: (_controller, status, headers) => handlers.onHead(status, headers),
-                onResponseData: (_controller, chunk) => handlers.onChunk(chunk),
+                onResponseStart: (_controller, status, headers) => {
+                    if (status >= HTTP_OK) {
+                        strayBytes = connections.current();
+                        strayBytes?.reset();
+                    }
+                    handlers.onHead(status, headers);
+                },
+                onResponseData: (_controller, chunk) => {
+                    strayBytes?.reset();
+                    handlers.onChunk(chunk);
+                },
                 onResponseEnd: () => handlers.onEnd(),
                 onResponseError: (_controller, error) => fail(error),
             },
