Do not start with rows of a stale peer; call a rejecting store once per pause

Causes: a restarted node took the rows of a relay that had lost the store, so that upstreams that had left and withdrawn keys were in use until the store answered. A node that the store rejects retried all three tables: 30 calls in 8 s, and rejected calls cost as much as others.

Change: a node without rows takes those of a disconnected peer only when it cannot reach the store either. After a failure only the smallest table is read until it succeeds.

--- a/src/node/replica/__tests__/relays.spec.ts
+++ b/src/node/replica/__tests__/relays.spec.ts
@@ -256,6 +256,22 @@
     assert.deepEqual(valuesOf(fleet.nodes), ["second"]);
 });
 
+// Rejected calls cost as much as others.
+test("a store that rejects a node gets one call per pause from it", async context => {
+    const fleet = await createFleet(context, 1, 1);
+    await fleet.advance(5000);
+    const [node] = fleet.nodes;
+    node!.canReachStore = false;
+    await fleet.advance(4000);
+    const before = node!.storeCalls;
+    await fleet.advance(8000);
+    assert.ok(node!.storeCalls - before <= 8000 / 800, `${node!.storeCalls - before} calls`);
+    node!.canReachStore = true;
+    fleet.write("second");
+    await fleet.advance(APPLY_MILLISECONDS);
+    assert.equal(node!.value(), "second");
+});
+
 test("a change arrives when a relay stops responding", async context => {
     const fleet = await createFleet(context, 12, 2);
     await fleet.advance(5000);
--- a/src/node/replica/__tests__/row-exchange.spec.ts
+++ b/src/node/replica/__tests__/row-exchange.spec.ts
@@ -8,7 +8,7 @@
 
 interface Peer {
     readonly configuration: ReturnType<typeof createRowReplica>;
-    read(): Promise<unknown>;
+    read(mayStartStale?: boolean): Promise<unknown>;
 }
 
 interface Link {
@@ -18,7 +18,10 @@
     responseBytes(): number;
 }
 
-function createLink(changeRequest: (request: object) => object = request => request): Link {
+function createLink(
+    changeRequest: (request: object) => object = request => request,
+    isCurrent: () => boolean = () => true,
+): Link {
     const handlers = new Map<string, PeerHandler>();
     let responseBytes = 0;
     const createPeer = (name: string): Peer => {
@@ -41,11 +44,14 @@
             },
             replicas,
             clock: { now: Date.now, wallTime: Date.now },
-            isCurrent: () => true,
+            isCurrent,
             path: () => [name],
             clockOffset: () => 0,
         });
-        return { configuration: replicas.configuration, read: () => exchange.readFrom("source", 0, 1000) };
+        return {
+            configuration: replicas.configuration,
+            read: (mayStartStale = false) => exchange.readFrom("source", 0, 1000, mayStartStale),
+        };
     };
     const source = createPeer("source");
     return { source, reader: createPeer("reader"), responseBytes: () => responseBytes };
@@ -81,3 +87,33 @@
     assert.equal(reader.configuration.get("large")?.value, LARGE_VALUE);
     assert.ok(responseBytes() > LARGE_VALUE.length);
 });
+
+// A restarted node would use upstreams that have left and keys that were withdrawn since the peer lost the store.
+test("a node without rows does not start with those of a peer that has lost the store", async () => {
+    const { source, reader } = createLink(undefined, () => false);
+    source.configuration.apply({
+        rows: [{ key: "k", revision: 3, value: "withdrawn since" }],
+        revision: 3,
+        complete: true,
+    });
+    await reader.read();
+    assert.equal(reader.configuration.revision, 0);
+    await reader.read(true);
+    assert.equal(reader.configuration.get("k")?.value, "withdrawn since", "nothing newer can be reached");
+});
+
+test("a node with rows takes newer ones from any peer", async () => {
+    const { source, reader } = createLink(undefined, () => false);
+    reader.configuration.apply({
+        rows: [{ key: "k", revision: 2, value: "old" }],
+        revision: 2,
+        complete: true,
+    });
+    source.configuration.apply({
+        rows: [{ key: "k", revision: 3, value: "new" }],
+        revision: 3,
+        complete: true,
+    });
+    await reader.read();
+    assert.equal(reader.configuration.get("k")?.value, "new");
+});
--- a/src/node/replica/peer-sync.ts
+++ b/src/node/replica/peer-sync.ts
@@ -29,7 +29,7 @@
     let stopped = false;
 
     const readFrom = async (peer: string): Promise<void> => {
-        const { changed } = await exchange.readFrom(peer, 0, CALL_TIMEOUT_MILLISECONDS);
+        const { changed } = await exchange.readFrom(peer, 0, CALL_TIMEOUT_MILLISECONDS, true);
         if (changed.length > 0) {
             logger.info("Took rows from a peer.", { tables: changed.join(","), peer });
         }
--- a/src/node/replica/row-exchange.ts
+++ b/src/node/replica/row-exchange.ts
@@ -61,8 +61,19 @@
 }
 
 export interface RowExchange {
-    /** Reads the rows that are newer at a peer. @throws PeerError */
-    readFrom(address: string, waitMilliseconds: number, timeoutMilliseconds: number): Promise<PeerResponse>;
+    /**
+     * Reads the rows that are newer at a peer.
+     *
+     * @param mayStartStale Whether a node without rows takes those of a peer that has lost the store. They may
+     * list upstreams that have left and keys that were withdrawn.
+     * @throws PeerError
+     */
+    readFrom(
+        address: string,
+        waitMilliseconds: number,
+        timeoutMilliseconds: number,
+        mayStartStale: boolean,
+    ): Promise<PeerResponse>;
     /** Ends the long polls of peers immediately. Called when this node loses its connection to the store. */
     completeWaitingCalls(): void;
 }
@@ -181,10 +192,14 @@
         return createResponse(request) as unknown as JsonValue;
     });
 
-    const applyTables = (tables: WireResponse["tables"]): readonly TableName[] =>
+    const applyTables = ({ isCurrent, tables }: WireResponse, mayStartStale: boolean): readonly TableName[] =>
         TABLE_NAMES.filter(table => {
             const changes = tables[table];
-            if (changes === undefined || changes.revision <= replicas[table].revision) {
+            const { revision } = replicas[table];
+            if (changes === undefined || changes.revision <= revision) {
+                return false;
+            }
+            if (revision === 0 && !isCurrent && !mayStartStale) {
                 return false;
             }
             replicas[table].apply(decode(changes));
@@ -192,7 +207,7 @@
         });
 
     return {
-        readFrom: async (address, waitMilliseconds, timeoutMilliseconds) => {
+        readFrom: async (address, waitMilliseconds, timeoutMilliseconds, mayStartStale) => {
             const since = Object.fromEntries(TABLE_NAMES.map(table => [table, replicas[table].revision]));
             const request = { since, waitMilliseconds, acceptsCompressed: true };
             const response = (await peers.call(
@@ -206,7 +221,7 @@
                 isCurrent: response.isCurrent,
                 path: response.path,
                 clockOffset: storeMilliseconds === undefined ? undefined : storeMilliseconds - clock.now(),
-                changed: applyTables(response.tables),
+                changed: applyTables(response, mayStartStale),
             };
         },
         completeWaitingCalls,
--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -40,6 +40,12 @@
 const INITIAL_RETRY_PAUSE_MILLISECONDS = 200;
 const MAXIMUM_RETRY_PAUSE_MILLISECONDS = 800;
 
+/**
+ * Table that is read first after a failure: the smallest one. The others follow when it succeeds, so that a
+ * store that rejects this node gets one call per pause instead of one for each table.
+ */
+const PROBE_TABLE: TableName = "nodes";
+
 /** Maximum time that a relay may hold a call open, milliseconds. */
 const RELAY_WAIT_MILLISECONDS = 500;
 
@@ -133,6 +139,13 @@
 
     const waitForRelayLoss = (): Promise<void> => new Promise(resolve => wakeReaders.push(resolve));
 
+    /** Waits until the store has answered a call for the probe table, or a relay is followed. */
+    const waitForProbe = async (table: TableName): Promise<void> => {
+        while (table !== PROBE_TABLE && failedTables.has(PROBE_TABLE) && relay === undefined && !stopped) {
+            await delay(FEED_PAUSE_MILLISECONDS);
+        }
+    };
+
     const readStore = async (table: TableName): Promise<void> => {
         let pause = INITIAL_RETRY_PAUSE_MILLISECONDS;
         while (!stopped) {
@@ -162,6 +175,7 @@
                 failedTables.add(table);
                 updateConnection({ table, error: (error as Error).message });
                 await delay(pause);
+                await waitForProbe(table);
                 pause = Math.min(MAXIMUM_RETRY_PAUSE_MILLISECONDS, pause * 2);
             }
         }
@@ -210,7 +224,12 @@
     const pollRelay = async (candidate: Relay): Promise<void> => {
         try {
             const wait = relay?.id === candidate.id ? RELAY_WAIT_MILLISECONDS : 0;
-            const response = await exchange.readFrom(candidate.peerAddress, wait, RELAY_TIMEOUT_MILLISECONDS);
+            const response = await exchange.readFrom(
+                candidate.peerAddress,
+                wait,
+                RELAY_TIMEOUT_MILLISECONDS,
+                false,
+            );
             const reason = unusableReason(response);
             if (reason === undefined) {
                 relayClockOffset = response.clockOffset;
