Log prompt parts and attempts that upstreams broke off

The logs could not show whether the crashes have a prompt part in common: no line named the parts, and a crash, a timeout and a wrong answer were all "lost".

The arrival of a request logs the ids of its prompt parts, up to 120 characters. The end of an attempt logs the number of events and whether the upstream closed or reset the connection, which send.ts now reports. The counter attempts_broken_off_total has the same fact.

--- a/src/node/daemon/__tests__/fake-upstreams.ts
+++ b/src/node/daemon/__tests__/fake-upstreams.ts
@@ -125,7 +125,7 @@
         const fail = (reason: string): void => {
             if (!exchange.ended) {
                 exchange.finish();
-                deliver(() => handlers.onFailure("may-have-run", reason));
+                deliver(() => handlers.onFailure("may-have-run", reason, true));
             }
         };
         state.running.add(exchange);
@@ -269,10 +269,10 @@
                         ended = true;
                         handlers.onEnd();
                     }),
-                onFailure: (verdict, reason) =>
+                onFailure: (verdict, reason, isBrokenOff) =>
                     unlessEnded(() => {
                         ended = true;
-                        handlers.onFailure(verdict, reason);
+                        handlers.onFailure(verdict, reason, isBrokenOff);
                     }),
             };
             setTimeout(() => {
@@ -280,13 +280,13 @@
                     return;
                 }
                 if (state.faults.down) {
-                    deliver(() => handlersUntilEnd.onFailure("not-run", "connection refused"));
+                    deliver(() => handlersUntilEnd.onFailure("not-run", "connection refused", false));
                     return;
                 }
                 exchange = serve(state, request, deliver, handlersUntilEnd);
                 restartHandlers.set(exchange, () => {
                     exchange!.finish();
-                    deliver(() => handlersUntilEnd.onFailure("may-have-run", "the upstream restarted"));
+                    deliver(() => handlersUntilEnd.onFailure("may-have-run", "the upstream restarted", true));
                 });
             }, CONNECT_MILLISECONDS);
             return {
@@ -306,7 +306,7 @@
                     if (state.version !== "") {
                         exchange?.finish();
                     }
-                    handlersUntilEnd.onFailure(reached ? "may-have-run" : "not-run", "cancelled");
+                    handlersUntilEnd.onFailure(reached ? "may-have-run" : "not-run", "cancelled", false);
                 },
             };
         },
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -32,8 +32,11 @@
     | { readonly kind: "doubted"; readonly confidence: number }
     /** The upstream sent an error response, or a response whose end is uncertain. */
     | { readonly kind: "failed"; readonly reason: string; readonly response: BufferedResponse }
-    /** The request may have run; there is no usable response. */
-    | { readonly kind: "lost"; readonly reason: string }
+    /**
+     * The request may have run; there is no usable response. `isBrokenOff` states that the upstream ended the
+     * connection before the response was complete, as a crash does.
+     */
+    | { readonly kind: "lost"; readonly reason: string; readonly isBrokenOff?: boolean }
     /** The caller closed its connection, or the request timed out. */
     | { readonly kind: "ended"; readonly reason: "caller left" | "deadline exceeded" };
 
@@ -129,6 +132,7 @@
         let settled = false;
         let exchange: UpstreamExchange | undefined = undefined;
         let started = false;
+        const eventsAtStart = sink.eventCount();
         let status = 0;
         let headers: IncomingHttpHeaders = {};
         let mode: "waiting" | "stream" | "buffer" | "pass" | "discard" = "waiting";
@@ -298,13 +302,17 @@
             if (mode === "stream") {
                 if (!isFramed && options.mayRetryUnframed) {
                     // A retry at another upstream sends the events after the last one, if there are any.
-                    finish({ kind: "lost", reason: "the end of the stream is not certain" });
+                    finish({
+                        kind: "lost",
+                        reason: "the end of the stream is not certain",
+                        isBrokenOff: sink.eventCount() === eventsAtStart,
+                    });
                 }
                 else if (sink.endStream()) {
                     finish({ kind: "delivered", status });
                 }
                 else {
-                    finish({ kind: "lost", reason: "the stream ended within an event" });
+                    finish({ kind: "lost", reason: "the stream ended within an event", isBrokenOff: true });
                 }
                 return;
             }
@@ -326,9 +334,11 @@
             finish({ kind: "failed", reason: `upstream answered ${status}`, response });
         };
 
-        const onFailure = (verdict: string, reason: string): void => {
+        const onFailure = (verdict: string, reason: string, isBrokenOff: boolean): void => {
             clearTimeout(discardTimer);
-            finish(verdict === "not-run" ? { kind: "not-run", reason } : { kind: "lost", reason });
+            finish(
+                verdict === "not-run" ? { kind: "not-run", reason } : { kind: "lost", reason, isBrokenOff },
+            );
         };
 
         cancelAfter(options.remainingMilliseconds, () => ({ kind: "ended", reason: "deadline exceeded" }));
@@ -355,7 +365,8 @@
             onHead,
             onChunk,
             onEnd,
-            onFailure: (verdict, reason) => onFailure(started ? "may-have-run" : verdict, reason),
+            onFailure: (verdict, reason, isBrokenOff) =>
+                onFailure(started ? "may-have-run" : verdict, reason, isBrokenOff),
         });
     });
 }
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -53,6 +53,9 @@
 /** Duration within which nearly all streams end, milliseconds. */
 const TYPICAL_STREAM_MILLISECONDS = 4700;
 
+/** Maximum length of the prompt parts in a log line, characters. */
+const MAXIMUM_LOGGED_PARTS_LENGTH = 120;
+
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
 const HTTP_TOO_LARGE = 413;
@@ -141,6 +144,16 @@
     return Math.min(typicalMilliseconds, route.timeoutMilliseconds) < remainingMilliseconds;
 }
 
+/** Ids of the prompt's parts for the log, shortened to a bounded length. */
+function describePromptParts({ promptParts }: RequestHead): string | undefined {
+    return promptParts.length === 0
+        ? undefined
+        : promptParts
+              .map(({ id }) => id)
+              .join(" ")
+              .slice(0, MAXIMUM_LOGGED_PARTS_LENGTH);
+}
+
 export function createForwardingServer(
     options: ForwardingServerOptions & { readonly splitPositionOf: (head: RequestHead) => number },
 ): ForwardingServer {
@@ -170,6 +183,7 @@
             configuration: version,
             remainingMilliseconds: head.remainingMilliseconds,
             promptTokens: head.promptTokens,
+            promptParts: describePromptParts(head),
             session: head.session,
         });
         if (service === undefined) {
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -71,6 +71,8 @@
     /** Requests per second that this node may send to one cold upstream of a service. */
     readonly coldAllowance: (service: Service, upstream: RegisteredUpstream) => number;
     readonly countAttempt: (service: string, model: string | undefined, result: string) => void;
+    /** Counts an attempt whose upstream broke off before the answer (`hasBegun` false) or within it. */
+    readonly countBrokenOff: (service: string, hasBegun: boolean) => void;
     /** Records the outcome of an attempt as evidence about the upstream's version. */
     readonly recordEvidence: (
         upstream: RegisteredUpstream,
@@ -262,7 +264,11 @@
             load.end();
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
+            const isBrokenOff = result.kind === "lost" && result.isBrokenOff === true;
             options.countAttempt(service.name, usedModel, result.kind);
+            if (isBrokenOff) {
+                options.countBrokenOff(service.name, events > 0);
+            }
             recordResult(result, upstream, stratum, {
                 headMilliseconds,
                 paceMilliseconds:
@@ -275,6 +281,8 @@
                 model: usedModel,
                 result: result.kind,
                 reason: "reason" in result ? result.reason : undefined,
+                brokenOff: isBrokenOff ? true : undefined,
+                events: events > 0 ? events : undefined,
                 confidence: headConfidence,
                 headMilliseconds: headMilliseconds === undefined ? undefined : Math.round(headMilliseconds),
                 milliseconds: Math.round(endedAt - sentAt),
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -271,6 +271,8 @@
                 : nodes.shareOf(upstream.entry.id, service.coldRequestsPerSecond * config.cold.factor),
         countAttempt: (service, model, result) =>
             metrics.count("attempts_total", { service, model: model ?? "", result }),
+        countBrokenOff: (service, hasBegun) =>
+            metrics.count("attempts_broken_off_total", { service, begun: String(hasBegun) }),
         recordEvidence: (upstream, stratum, succeeded, latency) =>
             shifts.record(upstream.entry.service, upstream.entry.version, stratum, succeeded, latency),
     });
--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -35,9 +35,9 @@
     readonly onEnd: () => void;
     /**
      * The exchange failed or was cancelled. `verdict` is `not-run` only if no byte of the request was written
-     * to a connection.
+     * to a connection. `isBrokenOff` states that the upstream closed or reset the connection.
      */
-    readonly onFailure: (verdict: Verdict, reason: string) => void;
+    readonly onFailure: (verdict: Verdict, reason: string, isBrokenOff: boolean) => void;
 }
 
 /** A running request and its response. */
@@ -68,6 +68,14 @@
 /** Error code for a connection that the upstream reset. */
 const RESET_CODE = "UPSTREAM_RESET";
 
+/** Error codes of connections that the upstream closed or reset, UND_ERR_SOCKET for a regular close. */
+const BROKEN_OFF_CODES: ReadonlySet<string | undefined> = new Set([
+    "UND_ERR_SOCKET",
+    RESET_CODE,
+    "ECONNRESET",
+    "EPIPE",
+]);
+
 /**
  * Bytes that may arrive on a connection without a response head or a part of a body among them, bytes. Exceeds
  * the largest head and the read buffers of a connection that is paused.
@@ -156,8 +164,12 @@
         let cancelled = false;
         let writeStarted = false;
         let strayBytes: StrayByteCount | undefined;
-        const fail = (error: Error): void => {
-            handlers.onFailure(writeStarted ? "may-have-run" : "not-run", error.message);
+        const fail = (error: NodeJS.ErrnoException): void => {
+            handlers.onFailure(
+                writeStarted ? "may-have-run" : "not-run",
+                error.message,
+                BROKEN_OFF_CODES.has(error.code),
+            );
         };
         const agent = request.dedicatedConnection === true ? singleUseAgent : pooledAgent;
         agent.dispatch(
