Keep prompts that crash upstreams away from them, with the evidence of all nodes

Cause: a node knew upstreams that fail, not what was sent to them, and each held its own view where the bound is of all nodes together. A crash was "lost" like a timeout, so the request went on to the next upstream, and new ones with the same part followed at every node.

Evidence travels in the load reports, verdicts also in the store (quarantine-rows.ts). Parts that any node has seen answered, processes that still respond, upstreams that end at the same moment and planned ends leave no blame.

--- a/src/node/forwarding/__tests__/decisions.spec.ts
+++ b/src/node/forwarding/__tests__/decisions.spec.ts
@@ -15,6 +15,7 @@
         executions: 1,
         rejections: 0,
         hasBegun: false,
+        isSuspect: false,
         remainingMilliseconds: 1000,
         hasCandidate: true,
         tryConsumeRetry: () => true,
--- a/src/node/forwarding/attempt-policy.ts
+++ b/src/node/forwarding/attempt-policy.ts
@@ -31,6 +31,8 @@
     /** The caller has received the beginning of a response. */
     readonly hasBegun: boolean;
     readonly remainingMilliseconds: number;
+    /** The prompt may have crashed upstreams, so the request is not repeated after it may have run. */
+    readonly isSuspect: boolean;
     /** Another upstream can accept the request. */
     readonly hasCandidate: boolean;
     /** Consumes one retry of the service's budget; returns false when the budget is exhausted. */
@@ -46,6 +48,7 @@
 function canRetryAfterExecution(progress: RequestProgress): boolean {
     return (
         isRepeatable(progress.route) &&
+        !progress.isSuspect &&
         progress.executions < progress.route.maximumAttempts &&
         progress.remainingMilliseconds > MINIMUM_REMAINING_MILLISECONDS &&
         progress.hasCandidate &&
@@ -66,6 +69,8 @@
             return { kind: "done" };
         case "ended":
             return { kind: result.reason === "caller left" ? "caller-left" : "timed-out" };
+        case "withdrawn":
+            return { kind: "fail", reason: result.reason };
         case "doubted":
             return { kind: "retry", reason: "escalated to a larger model" };
         case "not-run": {
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -38,7 +38,9 @@
      */
     | { readonly kind: "lost"; readonly reason: string; readonly isBrokenOff?: boolean }
     /** The caller closed its connection, or the request timed out. */
-    | { readonly kind: "ended"; readonly reason: "caller left" | "deadline exceeded" };
+    | { readonly kind: "ended"; readonly reason: "caller left" | "deadline exceeded" }
+    /** The request was cancelled before its answer began; it may have run. */
+    | { readonly kind: "withdrawn"; readonly reason: string };
 
 export interface ForwardingAttemptOptions {
     readonly send: UpstreamSend;
@@ -66,7 +68,11 @@
     readonly mayRetryUnframed: boolean;
     /** Aborted when the caller closes its connection. */
     readonly callerLeft: AbortSignal;
-    readonly onHead?: (head: ResponseHead) => void;
+    /** Cancels the attempt when it is aborted, with the reason of the abort, unless its answer has begun. */
+    readonly withdrawn?: AbortSignal;
+    readonly onHead?: (head: ResponseHead, status: number) => void;
+    /** The first event of a stream arrived. */
+    readonly onAnswer?: () => void;
 }
 
 /**
@@ -150,6 +156,7 @@
             timers.forEach(clearTimeout);
             clearTimeout(gapTimer);
             options.callerLeft.removeEventListener("abort", onCallerLeft);
+            options.withdrawn?.removeEventListener("abort", onWithdrawn);
             sink.onDrain(undefined);
             resolve(result);
         };
@@ -164,6 +171,12 @@
             cancel({ kind: "ended", reason: "caller left" });
         }
 
+        function onWithdrawn(): void {
+            if (sink.eventCount() === eventsAtStart) {
+                cancel({ kind: "withdrawn", reason: String(options.withdrawn?.reason) });
+            }
+        }
+
         const cancelAfter = (milliseconds: number, result: () => AttemptResult): NodeJS.Timeout => {
             const timer = setTimeout(() => cancel(result()), milliseconds);
             timers.push(timer);
@@ -205,7 +218,7 @@
             headers = receivedHeaders;
             clearTimeout(headTimer);
             const head = options.decodeHead(status, headers);
-            options.onHead?.(head);
+            options.onHead?.(head, status);
             const mismatch = mismatchReason(status, head, options.attemptId);
             if (mismatch !== undefined) {
                 cancel({ kind: "lost", reason: mismatch });
@@ -264,6 +277,9 @@
                     const events = sink.extractNewEvents(chunk);
                     // Comments and parts of an event do not show that the upstream makes progress.
                     if (sink.eventCount() > eventsBefore) {
+                        if (eventsBefore === eventsAtStart) {
+                            options.onAnswer?.();
+                        }
                         restartGapTimer();
                     }
                     if (events !== undefined) {
@@ -350,6 +366,7 @@
         let headTimer: NodeJS.Timeout | undefined;
         let bodyTimer: NodeJS.Timeout | undefined;
         options.callerLeft.addEventListener("abort", onCallerLeft);
+        options.withdrawn?.addEventListener("abort", onWithdrawn);
 
         exchange = options.send(options.request, {
             onStart: () => {
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -4,6 +4,8 @@
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { RequestTrace } from "../logging/request-log.js";
+import { sharedPartsOf } from "../quarantine/quarantine.js";
+import type { Quarantine } from "../quarantine/quarantine.js";
 import { isRepeatable } from "../routes/entities.js";
 import type { Route, Service, Workspace } from "../routes/entities.js";
 import type { LoadBoard } from "../upstream-table/load-board.js";
@@ -67,6 +69,12 @@
     readonly retryBudget: ServiceRetryBudget;
     readonly loads: LoadBoard;
     readonly latencies: LatencyReference;
+    readonly quarantine: Pick<
+        Quarantine,
+        "reject" | "isSuspect" | "watch" | "recordBreak" | "recordResponse" | "recordAnswer"
+    >;
+    /** Whether the end of an upstream is planned, so that it is no crash. */
+    readonly isLeaving: (upstream: RegisteredUpstream) => boolean;
     readonly modelChoice: ModelChoiceSettings;
     /** Requests per second that this node may send to one cold upstream of a service. */
     readonly coldAllowance: (service: Service, upstream: RegisteredUpstream) => number;
@@ -100,6 +108,12 @@
 /** Share of the retry budget that is reserved for retries and unavailable to escalations. */
 const ESCALATION_RESERVE = 0.25;
 
+/** Reason given to callers whose prompt is not sent. */
+const QUARANTINE_REASON = "a part of the prompt has crashed upstreams";
+
+/** Status of an upstream that is not the one that the request names. */
+const HTTP_MISDIRECTED = 421;
+
 /** Minimum number of events from which the time between events is computed. */
 const MINIMUM_PACED_EVENTS = 4;
 
@@ -111,6 +125,11 @@
         : Math.max(headRatio, latencies.record(`${stratum}\u0000pace`, timing.paceMilliseconds));
 }
 
+/** Key of an upstream's process, which changes when the upstream restarts. */
+function processKeyOf({ entry }: RegisteredUpstream): string {
+    return `${entry.id}@${entry.startedAt ?? entry.address}`;
+}
+
 export function createRequestForwarder(options: RequestForwarderOptions) {
     const { clock, codec } = options;
 
@@ -119,6 +138,7 @@
         const callerMilliseconds = head.remainingMilliseconds ?? Infinity;
         const deadline = request.arrivedAt + Math.min(callerMilliseconds, route.timeoutMilliseconds);
         const sessionKey = sessionKeyOf(head);
+        const sharedParts = sharedPartsOf(head.promptParts);
         const excluded = new Set<string>();
         const routerChoosesModel = head.allowsModelChoice && route.models.length > 0;
         let model = routerChoosesModel ? firstModel(route.models) : undefined;
@@ -158,6 +178,7 @@
             executions,
             rejections,
             hasBegun: sink.hasBegun(),
+            isSuspect: options.quarantine.isSuspect(sharedParts, clock.now()),
             remainingMilliseconds: deadline - clock.now(),
             hasCandidate,
             tryConsumeRetry: () => options.retryBudget.tryConsume(service.name, clock.now()),
@@ -222,6 +243,9 @@
             // Without another upstream, a request has no timeout for hung upstreams: it could not be retried.
             const canRetryElsewhere =
                 isRepeatable(route) && choice.candidates > 1 && executions + 1 < route.maximumAttempts;
+            const process = processKeyOf(upstream);
+            const withdrawal = new AbortController();
+            const endWatch = options.quarantine.watch(sharedParts, () => withdrawal.abort(QUARANTINE_REASON));
             const result = await runAttempt({
                 send: options.send,
                 request: {
@@ -255,12 +279,18 @@
                 remainingMilliseconds: Math.max(0, deadline - sentAt),
                 mayRetryUnframed: canRetryElsewhere,
                 callerLeft: request.callerLeft,
-                onHead: responseHead => {
+                withdrawn: withdrawal.signal,
+                onAnswer: () => options.quarantine.recordAnswer(sharedParts, clock.now()),
+                onHead: (responseHead, status) => {
+                    if (status !== HTTP_MISDIRECTED) {
+                        options.quarantine.recordResponse(process, sentAt, clock.now());
+                    }
                     load.promptRead();
                     headConfidence = responseHead.confidence;
                     headMilliseconds = clock.now() - sentAt;
                 },
             });
+            endWatch();
             load.end();
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
@@ -268,6 +298,9 @@
             options.countAttempt(service.name, usedModel, result.kind);
             if (isBrokenOff) {
                 options.countBrokenOff(service.name, events > 0);
+                if (events === 0 && !options.isLeaving(upstream)) {
+                    options.quarantine.recordBreak(process, sharedParts, endedAt);
+                }
             }
             recordResult(result, upstream, stratum, {
                 headMilliseconds,
@@ -318,6 +351,7 @@
                     lastFailure = result.kind === "failed" ? result.response : lastFailure;
                     break;
                 case "ended":
+                case "withdrawn":
                     break;
             }
             executions += 1;
@@ -363,6 +397,12 @@
                         ? { kind: "pass-failure" }
                         : rejectOrFail(progress(false), "no upstream can take the request");
                 }
+                const rejection = options.quarantine.reject(sharedParts, clock.now());
+                if (rejection !== undefined) {
+                    retryAfterSeconds = rejection.retryAfterSeconds;
+                    trace.add("attempts", "A part of the prompt is in quarantine.", { ...rejection });
+                    return rejectOrFail(progress(false), QUARANTINE_REASON);
+                }
                 const result = await attemptAt(choice);
                 const step = nextStep(result, progress(nextChoice() !== undefined));
                 if (step.kind !== "retry") {
--- /dev/null
+++ b/src/node/quarantine/quarantine-rows.ts
@@ -0,0 +1,115 @@
+/** Keeps the parts in quarantine in the store, so that nodes that start or were cut off know them. */
+import { rendezvousOwner } from "../common/hash.js";
+import type { Clock } from "../common/clock.js";
+import type { Lifecycle } from "../lifecycle/lifecycle.js";
+import type { Logger } from "../logging/logging.js";
+import type { RowChange, RowReplica } from "../replica/row-replica.js";
+import type { SharedStore } from "../replica/shared-store.js";
+import { SETTLED_MILLISECONDS } from "./quarantine.js";
+import type { Quarantine } from "./quarantine.js";
+
+export interface QuarantineRowsOptions {
+    readonly node: string;
+    /** Ids of all nodes. */
+    readonly nodes: () => readonly string[];
+    readonly quarantine: Quarantine;
+    readonly replica: RowReplica;
+    readonly store: SharedStore;
+    /** Store clock minus this process's monotonic clock, milliseconds; `undefined` while unknown. */
+    readonly clockOffset: () => number | undefined;
+    readonly clock: Clock;
+    readonly lifecycle: Lifecycle;
+    readonly logger: Logger;
+}
+
+interface QuarantineRow {
+    /** Time of the store's clock, milliseconds. */
+    readonly lastCrashAt: number;
+}
+
+const KEY_PREFIX = "quarantine/";
+
+const TICK_MILLISECONDS = 500;
+
+/** Age of the stored time from which a later crash is written, milliseconds. */
+const RENEWAL_MILLISECONDS = 10_000;
+
+export function createQuarantineRows(options: QuarantineRowsOptions): void {
+    const { quarantine, replica, store, clock, logger } = options;
+    /** Parts whose row this node has seen, and that the quarantine does not hold any more, are removed. */
+    const stored = new Set<string>();
+    let isWriting = false;
+
+    const applyRow = ({ key, value }: RowChange): void => {
+        if (!key.startsWith(KEY_PREFIX)) {
+            return;
+        }
+        const part = key.slice(KEY_PREFIX.length);
+        if (value === undefined) {
+            stored.delete(part);
+            quarantine.release(part, "its row was removed from the store");
+            return;
+        }
+        const { lastCrashAt } = JSON.parse(value) as QuarantineRow;
+        const offset = options.clockOffset();
+        stored.add(part);
+        quarantine.restore(part, offset === undefined ? clock.now() : lastCrashAt - offset);
+    };
+
+    const write = async (part: string, row: QuarantineRow | undefined): Promise<void> => {
+        const key = `${KEY_PREFIX}${part}`;
+        const revision = replica.get(key)?.revision ?? 0;
+        isWriting = true;
+        try {
+            await store.transact({
+                conditions: [{ table: "nodes", key, revision }],
+                writes: [{ table: "nodes", key, value: row === undefined ? undefined : JSON.stringify(row) }],
+            });
+        }
+        catch (error) {
+            logger.warn("Could not write a quarantined part; trying again.", {
+                part,
+                error: (error as Error).message,
+            });
+        }
+        finally {
+            isWriting = false;
+        }
+    };
+
+    const nextWrite = (): Promise<void> | undefined => {
+        const now = clock.now();
+        const offset = options.clockOffset();
+        const entries = quarantine.entries();
+        for (const [part, lastCrashAt] of entries) {
+            const text = replica.get(`${KEY_PREFIX}${part}`)?.value;
+            const storedAt = text === undefined ? undefined : (JSON.parse(text) as QuarantineRow).lastCrashAt;
+            const isStored =
+                offset === undefined ||
+                (storedAt !== undefined && lastCrashAt + offset - storedAt < RENEWAL_MILLISECONDS);
+            if (!isStored && quarantine.isWitness(part) && now - lastCrashAt >= SETTLED_MILLISECONDS) {
+                return write(part, { lastCrashAt: lastCrashAt + offset });
+            }
+        }
+        for (const part of stored) {
+            if (!entries.has(part) && rendezvousOwner(part, options.nodes()) === options.node) {
+                return write(part, undefined);
+            }
+        }
+        return undefined;
+    };
+
+    replica.onChange(changes => changes.forEach(applyRow));
+    options.lifecycle.add({
+        name: "quarantine",
+        start: () => {
+            const timer = setInterval(() => {
+                quarantine.expire(clock.now());
+                if (!isWriting) {
+                    void nextWrite();
+                }
+            }, TICK_MILLISECONDS);
+            return () => clearInterval(timer);
+        },
+    });
+}
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -18,6 +18,8 @@
 import { createRequestLog } from "../logging/request-log.js";
 import { createMetricsRegistry, serveMetrics } from "../metrics/registry.js";
 import { createHttpPeers } from "../peers/http-peers.js";
+import { createQuarantine } from "../quarantine/quarantine.js";
+import { createQuarantineRows } from "../quarantine/quarantine-rows.js";
 import { createPeerSync } from "../replica/peer-sync.js";
 import { relaysOf } from "../replica/relay-choice.js";
 import { createRowExchange } from "../replica/row-exchange.js";
@@ -212,8 +214,31 @@
     });
     const sessions = createSessionVersions(config.sessions.idleSeconds * 1000);
 
+    const quarantineLog = createLogger("quarantine");
+    const nodeIds = (): readonly string[] => nodes.entries().map(entry => entry.id);
+    const quarantine = createQuarantine({
+        node: config.node.id,
+        nodes: nodeIds,
+        onQuarantined: (part, crashes) =>
+            quarantineLog.warn("Put a prompt part into quarantine.", { promptPart: part, crashes }),
+        onReleased: (part, reason) =>
+            quarantineLog.info("Released a prompt part from quarantine.", { promptPart: part, reason }),
+        onNews: () => loadReports.sendNow(),
+    });
+    createQuarantineRows({
+        node: config.node.id,
+        nodes: nodeIds,
+        quarantine,
+        replica: replicas.nodes,
+        store: adapter.store,
+        clockOffset: () => sync.clockOffset(),
+        clock,
+        lifecycle,
+        logger: quarantineLog,
+    });
+
     const loads = createLoadBoard();
-    createLoadReports({
+    const loadReports = createLoadReports({
         node: config.node.id,
         ...splitEndpoint(config.loads.listen),
         board: loads,
@@ -227,7 +252,9 @@
                 .entries()
                 .filter(entry => entry.id !== config.node.id)
                 .map(entry => entry.address),
+        quarantine,
         clock,
+        random,
         lifecycle,
         logger: createLogger("loads"),
     });
@@ -263,6 +290,15 @@
             windowMilliseconds: config.retries.windowSeconds * 1000,
             extra: () => (config.retries.extra * USED_RETRY_RATIO_SHARE) / nodes.count(),
         }),
+        quarantine,
+        isLeaving: ({ entry }) => {
+            const current = upstreams.get(entry.id)?.entry;
+            return (
+                current === undefined ||
+                current.leaving ||
+                !shifts.rule(entry.service).isAllowed(entry.version)
+            );
+        },
         latencies: createLatencyReference(),
         modelChoice: config.models,
         coldAllowance: (service, upstream) =>
@@ -309,6 +345,7 @@
     metrics.gauge("store_disconnected", () => (sync.isDisconnected() ? 1 : 0));
     metrics.gauge("store_relayed", () => (sync.relay() === undefined ? 0 : 1));
     metrics.gauge("log_lines_dropped", () => lines.discardedLines);
+    metrics.gauge("quarantined_prompt_parts", () => quarantine.entries().size);
     metrics.gauge("sessions", () => sessions.size);
 
     const drain = async (startedAt: number): Promise<void> => {
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -1,8 +1,10 @@
 /** Exchanges load reports with the other nodes as UDP datagrams. */
 import { createSocket } from "node:dgram";
 import type { Clock } from "../common/clock.js";
+import type { Random } from "../common/random.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
+import type { Quarantine, QuarantineReport } from "../quarantine/quarantine.js";
 import type { Load, LoadBoard } from "./load-board.js";
 
 /**
@@ -20,6 +22,9 @@
  */
 const PEERS_PER_INTERVAL = 16;
 
+/** More nodes than a deployment has. */
+const MAXIMUM_NODES = 10_000;
+
 /** Larger datagrams are discarded, bytes. */
 const MAXIMUM_DATAGRAM_BYTES = 8192;
 
@@ -28,8 +33,14 @@
     node: string,
     loads: readonly (readonly [string, number, number, number])[],
     ejected: readonly string[],
+    quarantine?: QuarantineReport,
 ];
 
+export interface LoadReports {
+    /** Sends a report now, because other nodes should not wait for what it holds. */
+    sendNow(): void;
+}
+
 export interface LoadReportOptions {
     readonly node: string;
     readonly address: string;
@@ -37,20 +48,28 @@
     readonly board: LoadBoard;
     /** Ids of the upstreams that this node has ejected. */
     readonly ejected: () => readonly string[];
+    /** Evidence about prompts that crash upstreams, which the reports carry. */
+    readonly quarantine: Pick<Quarantine, "report" | "merge">;
     /** IP addresses of the nodes that get reports; all listen on the same port. */
     readonly peers: () => readonly string[];
     readonly clock: Clock;
+    readonly random: Random;
     readonly lifecycle: Lifecycle;
     readonly logger: Logger;
 }
 
-function encode(node: string, loads: ReadonlyMap<string, Load>, ejected: readonly string[]): string {
+function encode(
+    node: string,
+    loads: ReadonlyMap<string, Load>,
+    ejected: readonly string[],
+    quarantine: QuarantineReport | undefined,
+): string {
     const entries = [...loads].map(
         ([id, { pendingTokens, requests, heldTokens }]) =>
             [id, Math.round(pendingTokens), requests, Math.round(heldTokens)] as const,
     );
     const report: WireReport = [node, entries, ejected];
-    return JSON.stringify(report);
+    return JSON.stringify(quarantine === undefined ? report : [...report, quarantine]);
 }
 
 /** Selects the next peers in round-robin order, and the cursor for the following call. */
@@ -67,26 +86,32 @@
     return { chosen, cursor: (start + count) % peers.length };
 }
 
-export function createLoadReports(options: LoadReportOptions): void {
+export function createLoadReports(options: LoadReportOptions): LoadReports {
     const { board, logger } = options;
     const socket = createSocket("udp4");
     let sentRevision = -1;
     let unchangedIntervals = 0;
-    let cursor = 0;
+    // Nodes start at different peers, so that news does not reach the same peers from all of them.
+    let cursor = Math.floor(options.random() * MAXIMUM_NODES);
+    let isOpen = false;
 
     socket.on("message", message => {
         if (message.length > MAXIMUM_DATAGRAM_BYTES) {
             return;
         }
         try {
-            const [node, entries, ejected] = JSON.parse(message.toString()) as WireReport;
+            const [node, entries, ejected, quarantine] = JSON.parse(message.toString()) as WireReport;
             const loads = new Map(
                 entries.map(([id, pendingTokens, requests, heldTokens]): [string, Load] => [
                     id,
                     { pendingTokens, requests, heldTokens },
                 ]),
             );
-            board.report(node, loads, ejected, options.clock.now());
+            const now = options.clock.now();
+            board.report(node, loads, ejected, now);
+            if (quarantine !== undefined) {
+                options.quarantine.merge(quarantine, now);
+            }
         }
         catch (error) {
             logger.warn("Discarded a datagram that is not a load report.", {
@@ -102,15 +127,17 @@
         const peers = options.peers();
         const isRoundRobin = peers.length > PEERS_PER_INTERVAL;
         const ejected = options.ejected();
+        const quarantine = options.quarantine.report(options.clock.now());
         const hasContent = board.ownLoads().size > 0 || ejected.length > 0;
         unchangedIntervals = board.revision === sentRevision ? unchangedIntervals + 1 : 0;
         const isRepeat =
             unchangedIntervals > 0 && hasContent && unchangedIntervals % REPEAT_AFTER_INTERVALS === 0;
-        if (unchangedIntervals > 0 && !isRepeat && !(isRoundRobin && hasContent)) {
+        const mayWait = unchangedIntervals > 0 && !isRepeat && !(isRoundRobin && hasContent);
+        if (mayWait && quarantine === undefined) {
             return;
         }
         sentRevision = board.revision;
-        const datagram = encode(options.node, board.ownLoads(), ejected);
+        const datagram = encode(options.node, board.ownLoads(), ejected, quarantine);
         const selection = nextPeers(peers, cursor, PEERS_PER_INTERVAL);
         cursor = selection.cursor;
         for (const peer of selection.chosen) {
@@ -123,10 +150,20 @@
         start: async () => {
             await new Promise<void>(resolve => socket.bind(options.port, options.address, resolve));
             const timer = setInterval(send, REPORT_INTERVAL_MILLISECONDS);
+            isOpen = true;
             return () => {
                 clearInterval(timer);
+                isOpen = false;
                 socket.close();
             };
         },
     });
+
+    return {
+        sendNow: () => {
+            if (isOpen) {
+                send();
+            }
+        },
+    };
 }
