Do not pass on a stream without a length and without events as complete

A stream may come with neither a length nor chunks and end with its connection. An upstream that crashes after such a head ends it in the same way: the caller got a 200, signed, with an empty body that looked complete, where no other attempt was allowed.

Such an end before the first event now counts as broken off, which also makes it evidence of a crash. Streams that a caller resumes after the last event still end without events.

--- a/src/node/forwarding/__tests__/attempt.spec.ts
+++ b/src/node/forwarding/__tests__/attempt.spec.ts
@@ -322,3 +322,26 @@
         );
     });
 }
+
+for (const [name, body] of [
+    ["before its first event", ""],
+    ["inside its first event", "id: 1\nda"],
+    ["inside a later event", "id: 1\ndata: x\n\nid: 2\nda"],
+] as const) {
+    test(`a stream without a length that ends ${name} reaches no caller as complete`, async context => {
+        const upstream = await createRawUpstream(context, (socket, attemptId) => {
+            socket.end(createHead(200, attemptId, ["content-type: text/event-stream"]) + body);
+        });
+        const { result, caller } = await upstream.send("a", { mayRetryUnframed: false });
+        assert.equal(result.kind, "lost");
+        assert.equal(caller.complete, false);
+    });
+}
+
+test("a stream without a length that ends after an event is complete", async context => {
+    const upstream = await createRawUpstream(context, (socket, attemptId) => {
+        socket.end(`${createHead(200, attemptId, ["content-type: text/event-stream"])}id: 1\ndata: x\n\n`);
+    });
+    const { result, caller } = await upstream.send("a", { mayRetryUnframed: false });
+    assert.deepEqual([result.kind, caller.complete], ["delivered", true]);
+});
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -324,6 +324,14 @@
                         isBrokenOff: sink.eventCount() === eventsAtStart,
                     });
                 }
+                else if (!isFramed && sink.lastEventId() === undefined) {
+                    // A crash of the upstream ends such a stream in the same way.
+                    finish({
+                        kind: "lost",
+                        reason: "the stream ended before its first event",
+                        isBrokenOff: true,
+                    });
+                }
                 else if (sink.endStream()) {
                     finish({ kind: "delivered", status });
                 }
