Log the limit that an upstream names in its answer

The logs could not show which answers named a limit, so a limit that is not read and one that is exceeded looked the same.

Nothing acts on it yet.

--- a/src/node/forwarding/__tests__/raw-upstream.ts
+++ b/src/node/forwarding/__tests__/raw-upstream.ts
@@ -49,6 +49,7 @@
         isSigned: headers["signature"] !== undefined,
         isNotRun: headers["not-run"] !== undefined,
         confidence: undefined,
+        limitPerSecond: undefined,
         retryAfterSeconds: undefined,
         isEventStream: headers["content-type"] === "text/event-stream",
         isEncoded: false,
--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -51,6 +51,8 @@
     readonly isNotRun: boolean;
     /** Confidence of the model in its answer, 0 to 100. */
     readonly confidence: number | undefined;
+    /** Requests per second that the upstream takes from all nodes together; `undefined` when it names none. */
+    readonly limitPerSecond: number | undefined;
     readonly retryAfterSeconds: number | undefined;
     /** The body is a stream of events. */
     readonly isEventStream: boolean;
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -221,6 +221,7 @@
             const stratum = `${route.name}\u0000${usedModel ?? ""}`;
             let headMilliseconds: number | undefined;
             let headConfidence: number | undefined;
+            let limitPerSecond: number | undefined;
             const load = options.loads.begin(
                 upstream.entry.id,
                 head.promptTokens * relativeCost(service, usedModel),
@@ -287,6 +288,7 @@
                     }
                     load.promptRead();
                     headConfidence = responseHead.confidence;
+                    limitPerSecond = responseHead.limitPerSecond;
                     headMilliseconds = clock.now() - sentAt;
                 },
             });
@@ -317,6 +319,7 @@
                 brokenOff: isBrokenOff ? true : undefined,
                 events: events > 0 ? events : undefined,
                 confidence: headConfidence,
+                limitPerSecond,
                 headMilliseconds: headMilliseconds === undefined ? undefined : Math.round(headMilliseconds),
                 milliseconds: Math.round(endedAt - sentAt),
             });
