Share the limit that an upstream names between the nodes

Cause: no code read the limit, and each node chose upstreams by itself. Dividing the limit by the node list would give 0.004 requests a second at 660 nodes.

A few nodes per upstream share its limit (upstream-limits.ts): the first in its rendezvous order, as many as can send one request a second each, with token buckets that begin empty. Statements travel in the load reports; a silent node loses its share (active-nodes.ts). All attempts pass the gate in the choice of upstreams.

--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -96,7 +96,7 @@
     return NOT_RUN_STATUSES.has(status);
 }
 
-function isSuccess(status: number): boolean {
+export function isSuccess(status: number): boolean {
     return status >= 200 && status < 300;
 }
 
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -11,11 +11,12 @@
 import type { LoadBoard } from "../upstream-table/load-board.js";
 import { chooseUpstream } from "../upstream-table/upstream-choice.js";
 import type { Choice } from "../upstream-table/upstream-choice.js";
+import type { UpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { recordSend } from "../upstream-table/upstream-table.js";
 import type { RegisteredUpstream } from "../upstream-table/upstream-table.js";
 import type { UpstreamSend } from "../upstreams/send.js";
 import { createResponseSink } from "./response-sink.js";
-import { runAttempt } from "./attempt.js";
+import { isSuccess, runAttempt } from "./attempt.js";
 import type { AttemptResult, BufferedResponse } from "./attempt.js";
 import { nextStep, rejectOrFail } from "./attempt-policy.js";
 import type { NextStep, RequestProgress } from "./attempt-policy.js";
@@ -78,6 +79,7 @@
     readonly modelChoice: ModelChoiceSettings;
     /** Requests per second that this node may send to one cold upstream of a service. */
     readonly coldAllowance: (service: Service, upstream: RegisteredUpstream) => number;
+    readonly limits: Pick<UpstreamLimits, "hasRoom" | "record" | "consume">;
     readonly countAttempt: (service: string, model: string | undefined, result: string) => void;
     /** Counts an attempt whose upstream broke off before the answer (`hasBegun` false) or within it. */
     readonly countBrokenOff: (service: string, hasBegun: boolean) => void;
@@ -170,6 +172,7 @@
                 prefersVersion: options.versionFilterOf(service.name, sessionKey),
                 excluded,
                 coldAllowance: upstream => options.coldAllowance(service, upstream),
+                hasRoom: upstream => options.limits.hasRoom(processKeyOf(upstream), clock.now()),
                 random: options.random,
             });
 
@@ -230,7 +233,9 @@
             if (head.session !== undefined) {
                 options.recordSession(sessionKey, upstream);
             }
+            const process = processKeyOf(upstream);
             recordSend(upstream, sentAt);
+            options.limits.consume(process, sentAt);
             trace.add("attempts", "Sent the request to an upstream.", {
                 upstream: upstream.entry.id,
                 version: upstream.entry.version,
@@ -244,7 +249,6 @@
             // Without another upstream, a request has no timeout for hung upstreams: it could not be retried.
             const canRetryElsewhere =
                 isRepeatable(route) && choice.candidates > 1 && executions + 1 < route.maximumAttempts;
-            const process = processKeyOf(upstream);
             const withdrawal = new AbortController();
             const endWatch = options.quarantine.watch(sharedParts, () => withdrawal.abort(QUARANTINE_REASON));
             const result = await runAttempt({
@@ -289,6 +293,10 @@
                     load.promptRead();
                     headConfidence = responseHead.confidence;
                     limitPerSecond = responseHead.limitPerSecond;
+                    // Only an answer shows that the upstream names no limit any more.
+                    if (limitPerSecond !== undefined || isSuccess(status)) {
+                        options.limits.record(process, limitPerSecond, sentAt, clock.now());
+                    }
                     headMilliseconds = clock.now() - sentAt;
                 },
             });
--- a/src/node/quarantine/crash-evidence.ts
+++ b/src/node/quarantine/crash-evidence.ts
@@ -3,7 +3,7 @@
  * answer there, and which parts upstreams have answered. The merged state does not depend on the order in
  * which reports arrive.
  */
-import { createBoundedMap } from "./bounded-map.js";
+import { createBoundedMap } from "../common/bounded-map.js";
 import { blameParts } from "./blame.js";
 import type { Blame } from "./blame.js";
 
--- a/src/node/quarantine/quarantine.ts
+++ b/src/node/quarantine/quarantine.ts
@@ -9,7 +9,7 @@
 import { hash64, rendezvousOwner } from "../common/hash.js";
 import { CRASHES_TO_QUARANTINE, CRASHES_TO_SUSPECT } from "./blame.js";
 import type { Blame } from "./blame.js";
-import { createBoundedMap } from "./bounded-map.js";
+import { createBoundedMap } from "../common/bounded-map.js";
 import { createCrashEvidence } from "./crash-evidence.js";
 import type { SharedPart, WireEvidence } from "./crash-evidence.js";
 
--- a/src/node/router/node-list.ts
+++ b/src/node/router/node-list.ts
@@ -20,6 +20,8 @@
     readonly self: NodeEntry;
     /** Nodes that have announced themselves and have not left. Includes crashed nodes. */
     entries(): readonly NodeEntry[];
+    /** Ids of `entries`. Returns the same array until the list changes. */
+    readonly ids: () => readonly string[];
     /**
      * Number of nodes in the list, or an assumed number before the list is read. Limits for the whole
      * deployment are divided by it.
@@ -55,9 +57,11 @@
     const key = `${KEY_PREFIX}${self.id}`;
     const value = JSON.stringify(self);
     let cached: readonly NodeEntry[] = [];
+    let ids: readonly string[] = [];
     replica.onChange(changes => {
         if (changes.some(change => change.key.startsWith(KEY_PREFIX))) {
             cached = replica.list(KEY_PREFIX).map(row => JSON.parse(row.value!) as NodeEntry);
+            ids = cached.map(entry => entry.id);
             logger.info("The list of nodes changed.", { nodes: cached.length, revision: replica.revision });
         }
     });
@@ -96,6 +100,7 @@
     return {
         self,
         entries: () => cached,
+        ids: () => ids,
         count,
         shareOf: (upstream, requestsPerSecond) => {
             const share = requestsPerSecond / count();
@@ -104,7 +109,6 @@
             }
             // Fewer requests than nodes: the first nodes in the upstream's order (rendezvous hashing) send
             // one request per second each.
-            const ids = cached.map(entry => entry.id);
             const rank = rendezvousOrder(upstream, ids).indexOf(self.id);
             return rank >= 0 && rank < Math.floor(requestsPerSecond) ? 1 : 0;
         },
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -27,6 +27,8 @@
 import { createStoreSync } from "../replica/store-sync.js";
 import { createLoadBoard } from "../upstream-table/load-board.js";
 import { createLoadReports } from "../upstream-table/load-reports.js";
+import { createActiveNodes } from "../upstream-table/active-nodes.js";
+import { createUpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
 import { createShiftCoordinator } from "../shifts/shift-coordinator.js";
@@ -215,10 +217,9 @@
     const sessions = createSessionVersions(config.sessions.idleSeconds * 1000);
 
     const quarantineLog = createLogger("quarantine");
-    const nodeIds = (): readonly string[] => nodes.entries().map(entry => entry.id);
     const quarantine = createQuarantine({
         node: config.node.id,
-        nodes: nodeIds,
+        nodes: nodes.ids,
         onQuarantined: (part, crashes) =>
             quarantineLog.warn("Put a prompt part into quarantine.", { promptPart: part, crashes }),
         onReleased: (part, reason) =>
@@ -227,7 +228,7 @@
     });
     createQuarantineRows({
         node: config.node.id,
-        nodes: nodeIds,
+        nodes: nodes.ids,
         quarantine,
         replica: replicas.nodes,
         store: adapter.store,
@@ -238,6 +239,15 @@
     });
 
     const loads = createLoadBoard();
+    const limits = createUpstreamLimits({
+        node: config.node.id,
+        nodes: nodes.ids,
+        ...createActiveNodes({
+            node: config.node.id,
+            nodes: nodes.ids,
+            heardAt: node => loads.heardAt(node),
+        }),
+    });
     const loadReports = createLoadReports({
         node: config.node.id,
         ...splitEndpoint(config.loads.listen),
@@ -253,6 +263,7 @@
                 .filter(entry => entry.id !== config.node.id)
                 .map(entry => entry.address),
         quarantine,
+        limits,
         clock,
         random,
         lifecycle,
@@ -291,6 +302,7 @@
             extra: () => (config.retries.extra * USED_RETRY_RATIO_SHARE) / nodes.count(),
         }),
         quarantine,
+        limits,
         isLeaving: ({ entry }) => {
             const current = upstreams.get(entry.id)?.entry;
             return (
@@ -346,6 +358,7 @@
     metrics.gauge("store_relayed", () => (sync.relay() === undefined ? 0 : 1));
     metrics.gauge("log_lines_dropped", () => lines.discardedLines);
     metrics.gauge("quarantined_prompt_parts", () => quarantine.entries().size);
+    metrics.gauge("limited_upstreams", () => limits.size);
     metrics.gauge("sessions", () => sessions.size);
 
     const drain = async (startedAt: number): Promise<void> => {
--- a/src/node/upstream-table/__tests__/upstream-fixtures.ts
+++ b/src/node/upstream-table/__tests__/upstream-fixtures.ts
@@ -39,6 +39,7 @@
         prefersVersion: undefined,
         excluded: new Set(),
         coldAllowance: () => Infinity,
+        hasRoom: () => true,
         random: () => 0,
         ...overrides,
     };
--- a/src/node/upstream-table/load-board.ts
+++ b/src/node/upstream-table/load-board.ts
@@ -4,6 +4,8 @@
  * reads it.
  */
 
+import { createBoundedMap } from "../common/bounded-map.js";
+
 /** Unfinished work of an upstream. */
 export interface Load {
     /** Prompt tokens that the upstream has not processed yet, in tokens of the largest model. */
@@ -31,6 +33,8 @@
     begin(upstream: string, pendingTokens: number, heldTokens: number): LoadEntry;
     /** Replaces the report of another node: its loads and the upstreams that it ejected. */
     report(node: string, loads: NodeLoads, ejected: readonly string[], now: number): void;
+    /** Monotonic time of the last report of another node. */
+    heardAt(node: string): number | undefined;
     /** Number of other nodes that report the upstream as ejected. */
     ejections(upstream: string, now: number): number;
     /** Load of an upstream, summed over this node and all nodes with a valid report. */
@@ -44,6 +48,9 @@
 /** Time for which the report of a node counts, milliseconds: a few reporting intervals. */
 const REPORT_VALIDITY_MILLISECONDS = 1500;
 
+/** More nodes than a deployment has, with those that were replaced. */
+const MAXIMUM_HEARD_NODES = 4096;
+
 interface NodeReport {
     readonly loads: NodeLoads;
     readonly ejected: ReadonlySet<string>;
@@ -62,6 +69,7 @@
 export function createLoadBoard(): LoadBoard {
     const ownLoads = new Map<string, Load>();
     const reports = new Map<string, NodeReport>();
+    const heardAt = createBoundedMap<number>(MAXIMUM_HEARD_NODES);
     let revision = 0;
 
     const changeOwnLoad = (upstream: string, difference: Load): void => {
@@ -101,7 +109,9 @@
         },
         report: (node, loads, ejected, now) => {
             reports.set(node, { loads, ejected: new Set(ejected), at: now });
+            heardAt.set(node, now);
         },
+        heardAt: node => heardAt.get(node),
         ejections: (upstream, now) => {
             let count = 0;
             for (const { ejected, at } of reports.values()) {
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -5,13 +5,14 @@
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
 import type { Quarantine, QuarantineReport } from "../quarantine/quarantine.js";
+import type { UpstreamLimits, WireLimit } from "./upstream-limits.js";
 import type { Load, LoadBoard } from "./load-board.js";
 
 /**
  * Interval between reports while the load changes, milliseconds. A fraction of the time to process a long
  * prompt.
  */
-const REPORT_INTERVAL_MILLISECONDS = 100;
+export const REPORT_INTERVAL_MILLISECONDS = 100;
 
 /** Intervals after which an unchanged load is sent again, in case datagrams were lost. */
 const REPEAT_AFTER_INTERVALS = 5;
@@ -20,7 +21,7 @@
  * Peers that get a report in one interval. More peers are served round-robin, so the cost per node is
  * bounded.
  */
-const PEERS_PER_INTERVAL = 16;
+export const PEERS_PER_INTERVAL = 16;
 
 /** More nodes than a deployment has. */
 const MAXIMUM_NODES = 10_000;
@@ -33,9 +34,15 @@
     node: string,
     loads: readonly (readonly [string, number, number, number])[],
     ejected: readonly string[],
-    quarantine?: QuarantineReport,
+    news?: WireNews,
 ];
 
+/** What a report holds beside the loads, when there is something. */
+interface WireNews {
+    readonly quarantine?: QuarantineReport;
+    readonly limits?: readonly WireLimit[];
+}
+
 export interface LoadReports {
     /** Sends a report now, because other nodes should not wait for what it holds. */
     sendNow(): void;
@@ -50,6 +57,8 @@
     readonly ejected: () => readonly string[];
     /** Evidence about prompts that crash upstreams, which the reports carry. */
     readonly quarantine: Pick<Quarantine, "report" | "merge">;
+    /** Limits that upstreams name, which the reports carry. */
+    readonly limits: Pick<UpstreamLimits, "report" | "merge">;
     /** IP addresses of the nodes that get reports; all listen on the same port. */
     readonly peers: () => readonly string[];
     readonly clock: Clock;
@@ -62,14 +71,14 @@
     node: string,
     loads: ReadonlyMap<string, Load>,
     ejected: readonly string[],
-    quarantine: QuarantineReport | undefined,
+    news: WireNews | undefined,
 ): string {
     const entries = [...loads].map(
         ([id, { pendingTokens, requests, heldTokens }]) =>
             [id, Math.round(pendingTokens), requests, Math.round(heldTokens)] as const,
     );
     const report: WireReport = [node, entries, ejected];
-    return JSON.stringify(quarantine === undefined ? report : [...report, quarantine]);
+    return JSON.stringify(news === undefined ? report : [...report, news]);
 }
 
 /** Selects the next peers in round-robin order, and the cursor for the following call. */
@@ -100,7 +109,7 @@
             return;
         }
         try {
-            const [node, entries, ejected, quarantine] = JSON.parse(message.toString()) as WireReport;
+            const [node, entries, ejected, news] = JSON.parse(message.toString()) as WireReport;
             const loads = new Map(
                 entries.map(([id, pendingTokens, requests, heldTokens]): [string, Load] => [
                     id,
@@ -109,8 +118,11 @@
             );
             const now = options.clock.now();
             board.report(node, loads, ejected, now);
-            if (quarantine !== undefined) {
-                options.quarantine.merge(quarantine, now);
+            if (news?.quarantine !== undefined) {
+                options.quarantine.merge(news.quarantine, now);
+            }
+            if (news?.limits !== undefined) {
+                options.limits.merge(news.limits, now);
             }
         }
         catch (error) {
@@ -127,17 +139,20 @@
         const peers = options.peers();
         const isRoundRobin = peers.length > PEERS_PER_INTERVAL;
         const ejected = options.ejected();
-        const quarantine = options.quarantine.report(options.clock.now());
+        const now = options.clock.now();
+        const quarantine = options.quarantine.report(now);
+        const limits = options.limits.report(now);
+        const news = quarantine === undefined && limits === undefined ? undefined : { quarantine, limits };
         const hasContent = board.ownLoads().size > 0 || ejected.length > 0;
         unchangedIntervals = board.revision === sentRevision ? unchangedIntervals + 1 : 0;
         const isRepeat =
             unchangedIntervals > 0 && hasContent && unchangedIntervals % REPEAT_AFTER_INTERVALS === 0;
         const mayWait = unchangedIntervals > 0 && !isRepeat && !(isRoundRobin && hasContent);
-        if (mayWait && quarantine === undefined) {
+        if (mayWait && news === undefined) {
             return;
         }
         sentRevision = board.revision;
-        const datagram = encode(options.node, board.ownLoads(), ejected, quarantine);
+        const datagram = encode(options.node, board.ownLoads(), ejected, news);
         const selection = nextPeers(peers, cursor, PEERS_PER_INTERVAL);
         cursor = selection.cursor;
         for (const peer of selection.chosen) {
--- a/src/node/upstream-table/upstream-choice.ts
+++ b/src/node/upstream-table/upstream-choice.ts
@@ -33,6 +33,8 @@
     readonly excluded: ReadonlySet<string>;
     /** Maximum rate at which this node may send to the upstream while it is cold, requests per second. */
     readonly coldAllowance: (upstream: RegisteredUpstream) => number;
+    /** Whether the limit that the upstream names allows this node one more request now. */
+    readonly hasRoom: (upstream: RegisteredUpstream) => boolean;
     readonly random: Random;
 }
 
@@ -129,6 +131,7 @@
     const allowed = upstreams.filter(
         upstream =>
             !context.excluded.has(upstream.entry.id) &&
+            context.hasRoom(upstream) &&
             (upstream.coldUntil <= context.now ||
                 hasColdAllowance(upstream, context.now, context.coldAllowance(upstream))),
     );
