Count whole answers that are not streams as answers of their prompt parts

A prompt part was cleared of blame only by the first event of a stream. On routes that answer in one piece a part that all requests share would have come into quarantine after three crashes around it, and all callers of the route would have got 503. Found by reading; no such requests are on the users' deployments today.

A delivered success without events now counts as an answer too. The new test failed before (503 instead of 200 after four crashes of two upstreams under a part that had been answered), and passes now.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -304,6 +304,9 @@
             load.end();
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
+            if (result.kind === "delivered" && events === 0 && isSuccess(result.status)) {
+                options.quarantine.recordAnswer(sharedParts, endedAt);
+            }
             const isBrokenOff = result.kind === "lost" && result.isBrokenOff === true;
             options.countAttempt(service.name, usedModel, result.kind);
             if (isBrokenOff) {
