Keep the key of an upstream's process in the table

Found by reading, while looking at what the limits add to each choice.

The upstream table computes the key once per registration, and the gate returns at once while no upstream names a limit.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -127,11 +127,6 @@
         : Math.max(headRatio, latencies.record(`${stratum}\u0000pace`, timing.paceMilliseconds));
 }
 
-/** Key of an upstream's process, which changes when the upstream restarts. */
-function processKeyOf({ entry }: RegisteredUpstream): string {
-    return `${entry.id}@${entry.startedAt ?? entry.address}`;
-}
-
 export function createRequestForwarder(options: RequestForwarderOptions) {
     const { clock, codec } = options;
 
@@ -172,7 +167,7 @@
                 prefersVersion: options.versionFilterOf(service.name, sessionKey),
                 excluded,
                 coldAllowance: upstream => options.coldAllowance(service, upstream),
-                hasRoom: upstream => options.limits.hasRoom(processKeyOf(upstream), clock.now()),
+                hasRoom: upstream => options.limits.hasRoom(upstream.process, clock.now()),
                 random: options.random,
             });
 
@@ -218,6 +213,7 @@
 
         const attemptAt = async (choice: Choice): Promise<AttemptResult> => {
             const { upstream } = choice;
+            const { process } = upstream;
             const usedModel = model;
             const sentAt = clock.now();
             const eventsBefore = sink.eventCount();
@@ -233,7 +229,6 @@
             if (head.session !== undefined) {
                 options.recordSession(sessionKey, upstream);
             }
-            const process = processKeyOf(upstream);
             recordSend(upstream, sentAt);
             options.limits.consume(process, sentAt);
             trace.add("attempts", "Sent the request to an upstream.", {
--- a/src/node/upstream-table/__tests__/upstream-fixtures.ts
+++ b/src/node/upstream-table/__tests__/upstream-fixtures.ts
@@ -3,6 +3,7 @@
 import type { Load } from "../load-board.js";
 import type { ChoiceContext } from "../upstream-choice.js";
 import { createUpstreamHealth } from "../upstream-health.js";
+import { processOf } from "../upstream-table.js";
 import type { RegisteredUpstream, UpstreamEntry } from "../upstream-table.js";
 
 export function createEntry(id: string, overrides: Partial<UpstreamEntry> = {}): UpstreamEntry {
@@ -24,7 +25,14 @@
     overrides: Partial<UpstreamEntry> = {},
     coldUntil = 0,
 ): RegisteredUpstream {
-    return { entry: createEntry(id, overrides), coldUntil, health: createUpstreamHealth(), recentSends: [] };
+    const entry = createEntry(id, overrides);
+    return {
+        entry,
+        process: processOf(entry),
+        coldUntil,
+        health: createUpstreamHealth(),
+        recentSends: [],
+    };
 }
 
 export function createContext(overrides: Partial<ChoiceContext> = {}): ChoiceContext {
--- a/src/node/upstream-table/upstream-limits.ts
+++ b/src/node/upstream-table/upstream-limits.ts
@@ -160,6 +160,9 @@
     };
 
     const limitedState = (process: string): LimitState | undefined => {
+        if (states.size === 0) {
+            return undefined;
+        }
         const entry = states.get(process);
         return entry?.limitPerSecond === undefined ? undefined : entry;
     };
--- a/src/node/upstream-table/upstream-table.ts
+++ b/src/node/upstream-table/upstream-table.ts
@@ -28,6 +28,8 @@
 
 export interface RegisteredUpstream {
     readonly entry: UpstreamEntry;
+    /** Identifies the upstream's process; changes when the upstream restarts. */
+    readonly process: string;
     /** Monotonic time until which the upstream is cold. */
     readonly coldUntil: number;
     readonly health: UpstreamHealth;
@@ -37,6 +39,11 @@
     readonly recentSends: number[];
 }
 
+/** Key of the process that an entry describes, the same at all nodes. */
+export function processOf({ id, startedAt, address }: UpstreamEntry): string {
+    return `${id}@${startedAt ?? address}`;
+}
+
 export interface UpstreamTable {
     /** Upstreams of a service that may receive requests. */
     usable(service: string): readonly RegisteredUpstream[];
@@ -90,6 +97,7 @@
         missingUntil.delete(entry.id);
         upstreams.set(entry.id, {
             entry,
+            process: processOf(entry),
             coldUntil: now + entry.coldMilliseconds,
             health: isSameProcess ? known.health : createUpstreamHealth(),
             recentSends: isSameProcess ? known.recentSends : [],
