Log a quarantined part under a name of its own

The field "part" of a log line names the component. The rejection of a quarantined prompt and the failed write of its row used the same name for the prompt part, so their lines had the part's id as component and "geraniumbarrow explain" would not have found them. Found by reading.

The field is promptPart, as in the other lines.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -409,7 +409,10 @@
                 const rejection = options.quarantine.reject(sharedParts, clock.now());
                 if (rejection !== undefined) {
                     retryAfterSeconds = rejection.retryAfterSeconds;
-                    trace.add("attempts", "A part of the prompt is in quarantine.", { ...rejection });
+                    trace.add("attempts", "A part of the prompt is in quarantine.", {
+                        promptPart: rejection.part,
+                        retryAfterSeconds,
+                    });
                     return rejectOrFail(progress(false), QUARANTINE_REASON);
                 }
                 const result = await attemptAt(choice);
--- a/src/node/quarantine/quarantine-rows.ts
+++ b/src/node/quarantine/quarantine-rows.ts
@@ -36,7 +36,7 @@
 
 export function createQuarantineRows(options: QuarantineRowsOptions): void {
     const { quarantine, replica, store, clock, logger } = options;
-    /** Parts whose row this node has seen, and that the quarantine does not hold any more, are removed. */
+    /** Parts that have a row. The rows of those that the quarantine does not hold are removed. */
     const stored = new Set<string>();
     let isWriting = false;
 
@@ -68,7 +68,7 @@
         }
         catch (error) {
             logger.warn("Could not write a quarantined part; trying again.", {
-                part,
+                promptPart: part,
                 error: (error as Error).message,
             });
         }
