--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -70,7 +70,8 @@
     readonly callerLeft: AbortSignal;
     /** Cancels the attempt when it is aborted, with the reason of the abort, unless its answer has begun. */
     readonly withdrawn?: AbortSignal;
-    readonly onHead?: (head: ResponseHead, status: number) => void;
+    /** `isFramed` is false when only the end of the connection ends the response. */
+    readonly onHead?: (head: ResponseHead, status: number, isFramed: boolean) => void;
     /** The first event of a stream arrived. */
     readonly onAnswer?: () => void;
 }
@@ -218,7 +219,7 @@
             headers = receivedHeaders;
             clearTimeout(headTimer);
             const head = options.decodeHead(status, headers);
-            options.onHead?.(head, status);
+            options.onHead?.(head, status, hasBodyFraming(headers));
             const mismatch = mismatchReason(status, head, options.attemptId);
             if (mismatch !== undefined) {
                 cancel({ kind: "lost", reason: mismatch });
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -221,6 +221,7 @@
             let headMilliseconds: number | undefined;
             let headConfidence: number | undefined;
             let limitPerSecond: number | undefined;
+            let isUnframed = false;
             const load = options.loads.begin(
                 upstream.entry.id,
                 head.promptTokens * relativeCost(service, usedModel),
@@ -281,7 +282,8 @@
                 callerLeft: request.callerLeft,
                 withdrawn: withdrawal.signal,
                 onAnswer: () => options.quarantine.recordAnswer(sharedParts, clock.now()),
-                onHead: (responseHead, status) => {
+                onHead: (responseHead, status, isFramed) => {
+                    isUnframed = !isFramed;
                     if (status !== HTTP_MISDIRECTED) {
                         options.quarantine.recordResponse(process, sentAt, clock.now());
                     }
@@ -323,6 +325,7 @@
                 result: result.kind,
                 reason: "reason" in result ? result.reason : undefined,
                 brokenOff: isBrokenOff ? true : undefined,
+                unframed: isUnframed ? true : undefined,
                 events: events > 0 ? events : undefined,
                 confidence: headConfidence,
                 limitPerSecond,
