--- /dev/null
+++ b/src/node/forwarding/__tests__/forwarder-fixture.ts
@@ -0,0 +1,284 @@
+/** A request forwarder between upstreams that write raw bytes and callers that see how an answer ends. */
+import { createServer as createHttpServer } from "node:http";
+import type { IncomingHttpHeaders } from "node:http";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import type { TestContext } from "node:test";
+import { systemClock } from "../../common/clock.js";
+import { createLifecycle } from "../../lifecycle/lifecycle.js";
+import type { Route } from "../../routes/entities.js";
+import { createLoadBoard } from "../../upstream-table/load-board.js";
+import { createTestUpstream } from "../../upstream-table/__tests__/upstream-fixtures.js";
+import { createHttpSend } from "../../upstreams/send.js";
+import { createLatencyReference } from "../latency-reference.js";
+import type { HeaderCodec } from "../protocol.js";
+import { createRequestForwarder } from "../request-forwarder.js";
+import type { MatchedRequest, RequestForwarderOptions } from "../request-forwarder.js";
+import type { RequestEnd } from "../request-end.js";
+
+/** How the answer to a caller ended. */
+export type AnswerEnd =
+    /** By its length or its last chunk. */
+    | "framed"
+    /** With its connection, and has neither a length nor chunks. */
+    | "closed"
+    /** Its connection closed or was reset before the end of its framing, or was reset without framing. */
+    | "broken";
+
+export interface CallerAnswer {
+    readonly status: number;
+    readonly body: string;
+    readonly end: AnswerEnd;
+    readonly outcome: RequestEnd["outcome"];
+}
+
+/** Answers an attempt. `attempt` counts from 0, `lastEventId` is 0 without one. */
+export type RespondToAttempt = (
+    socket: Socket,
+    attempt: number,
+    head: string,
+    lastEventId: number,
+) => void | Promise<void>;
+
+export interface ForwarderFixture {
+    /** Sends a request on its own connection. */
+    send(
+        route: Partial<Route>,
+        respond: RespondToAttempt,
+        httpVersion?: "1.0" | "1.1",
+    ): Promise<CallerAnswer>;
+}
+
+const UPSTREAM_COUNT = 3;
+
+const ROUTE: Route = {
+    name: "reports",
+    host: "a.example",
+    prefix: "/",
+    kind: "stream",
+    split: [{ service: "engines", weight: 1 }],
+    timeoutMilliseconds: 3000,
+    targetLatencyMilliseconds: 1000,
+    targetGapMilliseconds: 1000,
+    maximumAttempts: 3,
+    public: true,
+    resumable: true,
+    models: [],
+};
+
+function textOf(headers: IncomingHttpHeaders, name: string): string | undefined {
+    return headers[name] as string | undefined;
+}
+
+const codec: HeaderCodec = {
+    decodeRequest: () => {
+        throw new Error("not used");
+    },
+    encodeRequest: (headers, { lastEventId }) => ({
+        attempt: textOf(headers, "attempt")!,
+        ...(lastEventId === undefined ? {} : { "last-event-id": lastEventId }),
+    }),
+    decodeResponse: (_status, headers) => ({
+        attemptId: textOf(headers, "attempt"),
+        isSigned: true,
+        isNotRun: false,
+        confidence: undefined,
+        limitPerSecond: undefined,
+        retryAfterSeconds: undefined,
+        isEventStream: headers["content-type"] === "text/event-stream",
+        isEncoded: false,
+    }),
+    encodeResponse: headers => ({
+        attempt: headers.attempt,
+        "content-type": headers["content-type"],
+        "content-length": headers["content-length"],
+    }),
+    encodeRouterResponse: () => ({}),
+};
+
+async function listen(server: Server): Promise<number> {
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return (server.address() as AddressInfo).port;
+}
+
+/** Decodes a chunked body. `isComplete` states that its last chunk is there. */
+function decodeChunks(text: string): { readonly body: string; readonly isComplete: boolean } {
+    let body = "";
+    let rest = text;
+    for (;;) {
+        const lineEnd = rest.indexOf("\r\n");
+        const size = lineEnd < 0 ? NaN : parseInt(rest.slice(0, lineEnd), 16);
+        if (Number.isNaN(size)) {
+            return { body, isComplete: false };
+        }
+        if (size === 0) {
+            return { body, isComplete: rest.slice(lineEnd).startsWith("\r\n\r\n") };
+        }
+        body += rest.slice(lineEnd + 2, lineEnd + 2 + size);
+        rest = rest.slice(lineEnd + 2 + size + 2);
+    }
+}
+
+function decodeAnswer(text: string, wasReset: boolean): Omit<CallerAnswer, "outcome"> {
+    const headEnd = text.indexOf("\r\n\r\n");
+    if (headEnd < 0) {
+        return { status: 0, body: "", end: "broken" };
+    }
+    const head = text.slice(0, headEnd).toLowerCase();
+    const rest = text.slice(headEnd + 4);
+    const status = Number(head.split(" ", 2)[1]);
+    const length = /\ncontent-length: (\d+)/.exec(head)?.[1];
+    if (length !== undefined) {
+        return { status, body: rest, end: rest.length === Number(length) ? "framed" : "broken" };
+    }
+    if (/\ntransfer-encoding: chunked/.test(head)) {
+        const { body, isComplete } = decodeChunks(rest);
+        return { status, body, end: isComplete ? "framed" : "broken" };
+    }
+    return { status, body: rest, end: wasReset ? "broken" : "closed" };
+}
+
+/** Sends a request and reads until the connection closes. */
+function callRaw(port: number, id: string, httpVersion: string): Promise<Omit<CallerAnswer, "outcome">> {
+    return new Promise(resolve => {
+        let text = "";
+        let wasReset = false;
+        const socket = connect(port, "127.0.0.1", () => {
+            socket.write(
+                `GET / HTTP/${httpVersion}\r\nhost: a\r\nattempt: ${id}\r\nconnection: close\r\n\r\n`,
+            );
+        });
+        socket.on("data", (data: Buffer) => (text += data.toString("latin1")));
+        socket.on("error", () => (wasReset = true));
+        socket.on("close", () => resolve(decodeAnswer(text, wasReset)));
+    });
+}
+
+export async function createForwarderFixture(
+    context: TestContext,
+    overrides: Partial<RequestForwarderOptions> = {},
+): Promise<ForwarderFixture> {
+    const responders = new Map<string, RespondToAttempt>();
+    const attempts = new Map<string, number>();
+    const routes = new Map<string, Route>();
+    const ends = new Map<string, (outcome: RequestEnd["outcome"]) => void>();
+    const sockets = new Set<Socket>();
+    const upstream = createServer({ allowHalfOpen: true, noDelay: true }, socket => {
+        sockets.add(socket);
+        let received = "";
+        socket.on("error", () => undefined);
+        socket.on("end", () => socket.end());
+        socket.on("close", () => sockets.delete(socket));
+        socket.on("data", (data: Buffer) => {
+            received += data.toString("latin1");
+            if (received.includes("\r\n\r\n")) {
+                const id = /\nattempt: (\S+)/.exec(received)![1]!;
+                const lastEventId = Number(/\nlast-event-id: (\d+)/.exec(received)?.[1] ?? 0);
+                const attempt = attempts.get(id) ?? 0;
+                attempts.set(id, attempt + 1);
+                received = "";
+                void responders.get(id)!(
+                    socket,
+                    attempt,
+                    `HTTP/1.1 200 x\r\nattempt: ${id}\r\n`,
+                    lastEventId,
+                );
+            }
+        });
+    });
+    const upstreamPort = await listen(upstream);
+    const lifecycle = createLifecycle();
+    const upstreams = Array.from({ length: UPSTREAM_COUNT }, (_, index) =>
+        createTestUpstream(`e${index}`, { address: `127.0.0.1:${upstreamPort}` }),
+    );
+    const forward = createRequestForwarder({
+        clock: systemClock,
+        random: Math.random,
+        codec,
+        send: createHttpSend(lifecycle),
+        upstreamsOf: () => upstreams,
+        versionFilterOf: () => undefined,
+        recordSession: () => undefined,
+        retryBudget: {
+            recordRequest: () => undefined,
+            tryConsume: () => true,
+            remainingShare: () => 1,
+        },
+        loads: createLoadBoard(),
+        latencies: createLatencyReference(),
+        quarantine: {
+            reject: () => undefined,
+            isSuspect: () => false,
+            watch: () => () => undefined,
+            recordBreak: () => undefined,
+            recordResponse: () => undefined,
+            recordAnswer: () => undefined,
+        },
+        isLeaving: () => false,
+        modelChoice: { evenConfidence: 50, confidenceScale: 10, worthPerThousandTokens: 0 },
+        coldAllowance: () => Infinity,
+        limits: { hasRoom: () => true, record: () => undefined, consume: () => undefined },
+        countAttempt: () => undefined,
+        countBrokenOff: () => undefined,
+        recordEvidence: () => undefined,
+        ...overrides,
+    });
+    await lifecycle.start();
+
+    const router = createHttpServer((message, response) => {
+        const id = textOf(message.headers, "attempt")!;
+        const callerLeft = new AbortController();
+        response.once("close", () => callerLeft.abort());
+        const request: MatchedRequest = {
+            head: {
+                attemptId: id,
+                remainingMilliseconds: undefined,
+                key: undefined,
+                promptTokens: 0,
+                maximumOutputTokens: 0,
+                expectedOutputTokens: undefined,
+                promptParts: [],
+                session: undefined,
+                allowsModelChoice: false,
+                lastEventId: undefined,
+            },
+            method: "GET",
+            path: "/",
+            headers: message.headers,
+            body: Buffer.alloc(0),
+            route: routes.get(id)!,
+            service: {
+                name: "engines",
+                coldRequestsPerSecond: 0,
+                engineTokens: undefined,
+                modelCosts: new Map(),
+            },
+            workspace: undefined,
+            arrivedAt: systemClock.now(),
+            trace: { add: () => undefined, end: () => undefined },
+            callerLeft: callerLeft.signal,
+        };
+        void forward(request, response).then(({ outcome }) => ends.get(id)!(outcome));
+    });
+    const routerPort = await listen(router);
+    context.after(async () => {
+        router.closeAllConnections();
+        router.close();
+        await lifecycle.stop();
+        sockets.forEach(socket => socket.destroy());
+        upstream.close();
+    });
+
+    let count = 0;
+    return {
+        send: async (route, respond, httpVersion = "1.1") => {
+            count += 1;
+            const id = `r${count}`;
+            responders.set(id, respond);
+            routes.set(id, { ...ROUTE, ...route });
+            const outcome = new Promise<RequestEnd["outcome"]>(resolve => ends.set(id, resolve));
+            const answer = await callRaw(routerPort, id, httpVersion);
+            return { ...answer, outcome: await outcome };
+        },
+    };
+}
