Frame a response as complete only when its end is known

Cause: the end of an answer without a length or chunks is the end of its connection, which a crash imitates. The router asks another upstream for the rest where it may; where it may not (last attempt, retry budget spent, route not resumable), it wrote the last chunk of a chunked response. So an uncertain end became a certain one on its way to the caller.

Change: certainty is kept. A stream is chunked to the caller while the router can confirm its end; otherwise it has no framing and ends with its connection. A chunked response whose end nothing confirmed closes without its last chunk. Large plain answers keep their lack of framing. Where no retry is left in the budget, a whole stream without framing now reaches the caller instead of being cut.

--- a/src/node/forwarding/__tests__/forwarder-fixture.ts
+++ b/src/node/forwarding/__tests__/forwarder-fixture.ts
@@ -119,7 +119,7 @@
     }
 }
 
-function decodeAnswer(text: string, wasReset: boolean): Omit<CallerAnswer, "outcome"> {
+function decodeAnswer(text: string, hasEnded: boolean): Omit<CallerAnswer, "outcome"> {
     const headEnd = text.indexOf("\r\n\r\n");
     if (headEnd < 0) {
         return { status: 0, body: "", end: "broken" };
@@ -135,22 +135,23 @@
         const { body, isComplete } = decodeChunks(rest);
         return { status, body, end: isComplete ? "framed" : "broken" };
     }
-    return { status, body: rest, end: wasReset ? "broken" : "closed" };
+    return { status, body: rest, end: hasEnded ? "closed" : "broken" };
 }
 
 /** Sends a request and reads until the connection closes. */
 function callRaw(port: number, id: string, httpVersion: string): Promise<Omit<CallerAnswer, "outcome">> {
     return new Promise(resolve => {
         let text = "";
-        let wasReset = false;
+        let hasEnded = false;
         const socket = connect(port, "127.0.0.1", () => {
             socket.write(
                 `GET / HTTP/${httpVersion}\r\nhost: a\r\nattempt: ${id}\r\nconnection: close\r\n\r\n`,
             );
         });
         socket.on("data", (data: Buffer) => (text += data.toString("latin1")));
-        socket.on("error", () => (wasReset = true));
-        socket.on("close", () => resolve(decodeAnswer(text, wasReset)));
+        socket.on("error", () => undefined);
+        socket.on("end", () => (hasEnded = true));
+        socket.on("close", () => resolve(decodeAnswer(text, hasEnded)));
     });
 }
 
--- a/src/node/forwarding/__tests__/raw-upstream.ts
+++ b/src/node/forwarding/__tests__/raw-upstream.ts
@@ -10,6 +10,7 @@
 import type { AttemptResult, ForwardingAttemptOptions } from "../attempt.js";
 import type { ResponseHead } from "../protocol.js";
 import { createResponseSink } from "../response-sink.js";
+import { abortResponse } from "../router-response.js";
 
 /** Handles a whole request that arrived on a connection. Requests have no bodies. */
 export type RawHandler = (socket: Socket, attemptId: string) => void;
@@ -156,7 +157,7 @@
             ...options.get(attemptId),
         }).then(result => {
             if (result.kind !== "delivered") {
-                response.destroy();
+                void abortResponse(response);
             }
             results.get(attemptId)!(result);
         });
--- a/src/node/forwarding/__tests__/unconfirmed-end.spec.ts
+++ b/src/node/forwarding/__tests__/unconfirmed-end.spec.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import type { Socket } from "node:net";
 import fc from "fast-check";
+import { resetConnection } from "../../common/reset-connection.js";
 import { createForwarderFixture } from "./forwarder-fixture.js";
 import type { CallerAnswer, RespondToAttempt } from "./forwarder-fixture.js";
 
@@ -52,7 +53,7 @@
             socket.end();
         }
         else {
-            setTimeout(() => socket.resetAndDestroy(), 3);
+            setTimeout(() => resetConnection(socket), 3);
         }
     });
 }
@@ -181,7 +182,7 @@
         const { send } = await createForwarderFixture(context);
         const answer = await send({ kind: "once" }, (socket, _attempt, head) => {
             socket.write(`${head}\r\n${"x".repeat(kilobytes * 1024)}`, () => {
-                setTimeout(() => socket.resetAndDestroy(), 20);
+                setTimeout(() => resetConnection(socket), 20);
             });
         });
         assert.equal(answer.end, "broken");
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -240,7 +240,7 @@
             }
             mode = isSuccess(status) && head.isEventStream ? "stream" : "buffer";
             if (mode === "stream") {
-                sink.beginStream(status, headers);
+                sink.beginStream(status, headers, hasBodyFraming(headers) || options.mayRetryUnframed);
                 restartGapTimer();
             }
             else if (sink.hasBegun()) {
@@ -257,7 +257,7 @@
         const passOn = (data: Buffer): void => {
             mode = "pass";
             clearTimeout(bodyTimer);
-            sink.beginPlain(status, headers);
+            sink.beginPlain(status, headers, hasBodyFraming(headers));
             forward(data);
         };
 
@@ -310,6 +310,18 @@
             }
         };
 
+        const breakOfStream = (
+            isFramed: boolean,
+        ): { readonly reason: string; readonly isBrokenOff: boolean } => {
+            if (sink.isWithinEvent()) {
+                return { reason: "the stream ended within an event", isBrokenOff: true };
+            }
+            const hasNewEvents = sink.eventCount() > eventsAtStart;
+            return !isFramed && !hasNewEvents && sink.lastEventId() === undefined
+                ? { reason: "the stream ended before its first event", isBrokenOff: true }
+                : { reason: "the end of the stream is not certain", isBrokenOff: !hasNewEvents };
+        };
+
         const onEnd = (): void => {
             clearTimeout(discardTimer);
             if (settled) {
@@ -317,27 +329,12 @@
             }
             const isFramed = hasBodyFraming(headers);
             if (mode === "stream") {
-                if (!isFramed && options.mayRetryUnframed) {
-                    // A retry at another upstream sends the events after the last one, if there are any.
-                    finish({
-                        kind: "lost",
-                        reason: "the end of the stream is not certain",
-                        isBrokenOff: sink.eventCount() === eventsAtStart,
-                    });
-                }
-                else if (!isFramed && sink.lastEventId() === undefined) {
-                    // A crash of the upstream ends such a stream in the same way.
-                    finish({
-                        kind: "lost",
-                        reason: "the stream ended before its first event",
-                        isBrokenOff: true,
-                    });
-                }
-                else if (sink.endStream()) {
+                if (isFramed ? sink.endStream() : !options.mayRetryUnframed && sink.endUnconfirmed()) {
                     finish({ kind: "delivered", status });
                 }
                 else {
-                    finish({ kind: "lost", reason: "the stream ended within an event", isBrokenOff: true });
+                    // A retry at another upstream sends the events after the last one, if there are any.
+                    finish({ kind: "lost", ...breakOfStream(isFramed) });
                 }
                 return;
             }
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -7,7 +7,7 @@
 import type { RequestLog, RequestTrace } from "../logging/request-log.js";
 import type { Route, Workspace } from "../routes/entities.js";
 import type { RouteTable } from "../routes/route-table.js";
-import { sendRouterResponse } from "./router-response.js";
+import { abortResponse, sendRouterResponse } from "./router-response.js";
 import type { MatchedRequest } from "./request-forwarder.js";
 import type { RequestEnd } from "./request-end.js";
 import type { HeaderCodec, RequestHead } from "./protocol.js";
@@ -158,7 +158,7 @@
     options: ForwardingServerOptions & { readonly splitPositionOf: (head: RequestHead) => number },
 ): ForwardingServer {
     const { codec, clock } = options;
-    let openCount = 0;
+    const openResponses = new Set<ServerResponse>();
     let exitsAt: number | undefined;
 
     const handle = async (
@@ -257,7 +257,7 @@
         const arrivedAt = clock.now();
         const head = codec.decodeRequest(message.headers);
         const trace = options.requestLog.begin(head.attemptId ?? "(none)");
-        openCount += 1;
+        openResponses.add(response);
         if (exitsAt !== undefined) {
             response.setHeader("connection", "close");
         }
@@ -290,7 +290,7 @@
                 sendRouterResponse(response, codec, head.attemptId, 500, "the node failed");
             })
             .finally(() => {
-                openCount -= 1;
+                openResponses.delete(response);
             });
     };
 
@@ -305,9 +305,16 @@
     );
 
     addListener("caller listener", server, options, options.lifecycle);
+    options.lifecycle.add({
+        name: "open responses",
+        start: () => async () => {
+            const begun = [...openResponses].filter(response => response.headersSent);
+            await Promise.all(begun.map(abortResponse));
+        },
+    });
 
     return {
-        openRequests: () => openCount,
+        openRequests: () => openResponses.size,
         startDraining: exitTime => {
             exitsAt = exitTime;
         },
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -245,6 +245,9 @@
             // Without another upstream, a request has no timeout for hung upstreams: it could not be retried.
             const canRetryElsewhere =
                 isRepeatable(route) && choice.candidates > 1 && executions + 1 < route.maximumAttempts;
+            const canConfirm =
+                options.retryBudget.remainingShare(service.name, sentAt) > 0 &&
+                !options.quarantine.isSuspect(sharedParts, sentAt);
             const withdrawal = new AbortController();
             const endWatch = options.quarantine.watch(sharedParts, () => withdrawal.abort(QUARANTINE_REASON));
             const result = await runAttempt({
@@ -278,7 +281,7 @@
                         ? route.targetGapMilliseconds * GAP_TIMEOUT_RATIO
                         : undefined,
                 remainingMilliseconds: Math.max(0, deadline - sentAt),
-                mayRetryUnframed: canRetryElsewhere,
+                mayRetryUnframed: canRetryElsewhere && canConfirm,
                 callerLeft: request.callerLeft,
                 withdrawn: withdrawal.signal,
                 onAnswer: () => options.quarantine.recordAnswer(sharedParts, clock.now()),
--- a/src/node/forwarding/response-sink.ts
+++ b/src/node/forwarding/response-sink.ts
@@ -11,10 +11,19 @@
     lastEventId(): string | undefined;
     /** Number of events that were sent to the caller. */
     eventCount(): number;
-    /** Prepares a stream. The first upstream's status and headers are sent together with the first event. */
-    beginStream(status: number, headers: IncomingHttpHeaders): void;
-    /** Begins a response that is not an event stream and is forwarded as it arrives. */
-    beginPlain(status: number, headers: IncomingHttpHeaders): void;
+    /**
+     * Prepares a stream. The first upstream's status and headers are sent together with the first event.
+     *
+     * @param isFramed Whether the router will know the end of the stream. Otherwise it is sent without framing
+     * and ends with its connection, so that the caller knows as much about its end as the router.
+     */
+    beginStream(status: number, headers: IncomingHttpHeaders, isFramed: boolean): void;
+    /**
+     * Begins a response that is not an event stream and is forwarded as it arrives.
+     *
+     * @param isFramed Whether the upstream's response has a length or chunks.
+     */
+    beginPlain(status: number, headers: IncomingHttpHeaders, isFramed: boolean): void;
     /**
      * Adds a chunk of a stream and returns the complete events that the caller has not received yet.
      *
@@ -25,8 +34,16 @@
     write(data: Buffer): boolean;
     /** Calls the listener once when the write buffer has drained; replaces any earlier listener. */
     onDrain(listener: (() => void) | undefined): void;
-    /** Ends a stream after its upstream did. Returns false and keeps it open when an event is incomplete. */
+    /** Whether the upstream has sent a part of an event. */
+    isWithinEvent(): boolean;
+    /** Ends a stream that is complete. Returns false and keeps it open when an event is incomplete. */
     endStream(): boolean;
+    /**
+     * Ends a stream whose upstream ended its connection, which may also have been a crash. Returns false and
+     * keeps it open when an event is incomplete, no event was sent, or its framing would state that it is
+     * complete.
+     */
+    endUnconfirmed(): boolean;
     end(): void;
     /** Sends a response that was read to its end. */
     sendBuffered(buffered: BufferedResponse): void;
@@ -44,11 +61,18 @@
     return Object.fromEntries(Object.entries(headers).filter(([, value]) => value !== undefined));
 }
 
+interface StreamHead {
+    readonly status: number;
+    readonly headers: OutgoingHttpHeaders;
+    readonly isFramed: boolean;
+}
+
 export function createResponseSink(options: ResponseSinkOptions): ResponseSink {
     const { response } = options;
     const splitter: EventSplitter = createEventSplitter(options.lastEventId);
-    let streamHead: { readonly status: number; readonly headers: OutgoingHttpHeaders } | undefined;
+    let streamHead: StreamHead | undefined;
     let hasBegun = false;
+    let isChunked = false;
     let drainListener: (() => void) | undefined;
     response.on("drain", () => {
         const listener = drainListener;
@@ -56,15 +80,21 @@
         listener?.();
     });
 
-    const begin = (status: number, headers: OutgoingHttpHeaders): void => {
+    const begin = (status: number, headers: OutgoingHttpHeaders, isFramed: boolean): void => {
         hasBegun = true;
         options.onFirstByte();
+        if (!isFramed) {
+            // Only the end of the connection marks the end of the response.
+            response.shouldKeepAlive = false;
+            response.useChunkedEncodingByDefault = false;
+        }
         response.writeHead(status, definedHeaders(headers));
+        isChunked = response.chunkedEncoding;
     };
 
     const beginStreamIfNeeded = (): void => {
         if (!hasBegun && streamHead !== undefined) {
-            begin(streamHead.status, streamHead.headers);
+            begin(streamHead.status, streamHead.headers, streamHead.isFramed);
         }
     };
 
@@ -72,17 +102,18 @@
         hasBegun: () => hasBegun,
         lastEventId: () => splitter.lastEventId(),
         eventCount: () => splitter.eventCount(),
-        beginStream: (status, headers) => {
+        beginStream: (status, headers, isFramed) => {
             splitter.discardPending();
             if (!hasBegun) {
                 // The length of a resumed stream can differ from the one that its first upstream announced.
                 streamHead = {
                     status,
                     headers: { ...options.encodeHeaders(headers), "content-length": undefined },
+                    isFramed,
                 };
             }
         },
-        beginPlain: (status, headers) => begin(status, options.encodeHeaders(headers)),
+        beginPlain: (status, headers, isFramed) => begin(status, options.encodeHeaders(headers), isFramed),
         extractNewEvents: chunk => splitter.push(chunk),
         write: data => {
             beginStreamIfNeeded();
@@ -91,6 +122,7 @@
         onDrain: listener => {
             drainListener = listener;
         },
+        isWithinEvent: () => splitter.pendingBytes() > 0,
         endStream: () => {
             if (splitter.pendingBytes() > 0) {
                 return false;
@@ -99,18 +131,18 @@
             response.end();
             return true;
         },
+        endUnconfirmed: () => {
+            if (splitter.pendingBytes() > 0 || !hasBegun || isChunked) {
+                return false;
+            }
+            response.end();
+            return true;
+        },
         end: () => response.end(),
         sendBuffered: buffered => {
             const headers = options.encodeHeaders(buffered.headers);
-            if (buffered.isFramed) {
-                begin(buffered.status, { ...headers, "content-length": buffered.body.length });
-            }
-            else {
-                // Without a known length, only the end of the connection marks the end of the response.
-                response.shouldKeepAlive = false;
-                response.useChunkedEncodingByDefault = false;
-                begin(buffered.status, headers);
-            }
+            const length = buffered.isFramed ? { "content-length": buffered.body.length } : {};
+            begin(buffered.status, { ...headers, ...length }, buffered.isFramed);
             response.end(buffered.body);
         },
     };
