Follow the store into a new epoch when it comes back from an older copy

What callers saw: after the store had come back from a copy some seconds old, routes that were acknowledged later were answered 404 and requests were decided by an older configuration (CONFIG, DENIED), at some nodes for good.

Cause: a replica compared bare revisions. After a restore the store gives revisions out again, so a node ignored what it acknowledged until the counter had caught up, and then missed the rows in between. Relays compared them in the same way. Class: an order that holds within one life of a counter, used across lives, as with a fencing token.

Change: the store's header with the number of its lives is read as an epoch. Replicas, the feed, relays and peers compare (epoch, revision); the first read of an epoch is a whole table. A value that shows its age (version of a configuration, start of an upstream, leaving) decides at once. Rows of the nodes are written again by a node that knows them, on condition that they are still missing. A shift goes on under the new revision of its order, and its report is written again. A transaction whose conditions were read in another epoch counts as unknown. A relay that states no epoch or an earlier one is not followed.

--- a/src/node/common/http-call.ts
+++ b/src/node/common/http-call.ts
@@ -1,4 +1,5 @@
 /** HTTP calls whose time limits apply to silence and not to the duration of the whole call. */
+import type { IncomingHttpHeaders } from "node:http";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
 
@@ -13,6 +14,7 @@
 
 export interface HttpCallResponse {
     readonly status: number;
+    readonly headers: IncomingHttpHeaders;
     readonly text: string;
 }
 
@@ -49,7 +51,7 @@
         timer = abortAfter(PROGRESS_MILLISECONDS, "the response stopped arriving");
     };
     try {
-        const { statusCode, body } = await request(url, {
+        const { statusCode, headers, body } = await request(url, {
             method: call.method,
             headers: call.headers,
             body: call.body,
@@ -67,7 +69,7 @@
                 expectProgress();
             }
         }
-        return { status: statusCode, text: Buffer.concat(chunks).toString("utf8") };
+        return { status: statusCode, headers, text: Buffer.concat(chunks).toString("utf8") };
     }
     finally {
         clearTimeout(timer);
--- a/src/node/quarantine/__tests__/quarantine-rows.spec.ts
+++ b/src/node/quarantine/__tests__/quarantine-rows.spec.ts
@@ -24,7 +24,7 @@
 async function createFixture(context: TestContext): Promise<RowsFixture> {
     context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 1_000_000 });
     const replica = createRowReplica();
-    replica.apply({ rows: [], revision: 1, complete: true });
+    replica.apply({ rows: [], revision: 1, epoch: 0, complete: true });
     const transactions: StoreTransaction[] = [];
     let isStoreUp = true;
     const lifecycle = createLifecycle();
@@ -43,7 +43,7 @@
                 transactions.push(transaction);
                 const revision = replica.revision + 1;
                 const rows = transaction.writes.map(({ key, value }) => ({ key, value, revision }));
-                replica.apply({ rows, revision, complete: false });
+                replica.apply({ rows, revision, epoch: 0, complete: false });
             }
             return Promise.resolve(holds);
         },
--- a/src/node/quarantine/quarantine-rows.ts
+++ b/src/node/quarantine/quarantine-rows.ts
@@ -63,10 +63,12 @@
 
     const write = async (part: string, row: QuarantineRow | undefined): Promise<void> => {
         const key = `${KEY_PREFIX}${part}`;
-        const revision = replica.get(key)?.revision ?? 0;
+        const { epoch } = replica;
+        const revision = replica.stored(key)?.revision ?? 0;
         isWriting = true;
         try {
             await store.transact({
+                epoch,
                 conditions: [{ table: "nodes", key, revision }],
                 writes: [{ table: "nodes", key, value: row === undefined ? undefined : JSON.stringify(row) }],
             });
--- a/src/node/replica/__tests__/relays.spec.ts
+++ b/src/node/replica/__tests__/relays.spec.ts
@@ -68,6 +68,7 @@
         const changes = (after: number, complete: boolean) => ({
             rows: row.revision > after ? [row] : [],
             revision: row.revision,
+            epoch: 0,
             complete,
         });
         const callStore = (): void => {
--- a/src/node/replica/__tests__/row-exchange.spec.ts
+++ b/src/node/replica/__tests__/row-exchange.spec.ts
@@ -67,7 +67,7 @@
         { key: "large", revision: 1, value: LARGE_VALUE },
         { key: "small", revision: 1, value: "ø" },
     ];
-    source.configuration.apply({ rows, revision: 1, complete: true });
+    source.configuration.apply({ rows, revision: 1, epoch: 0, complete: true });
     await reader.read();
     assert.equal(reader.configuration.get("large")?.value, LARGE_VALUE);
     assert.equal(reader.configuration.get("small")?.value, "ø");
@@ -81,6 +81,7 @@
     source.configuration.apply({
         rows: [{ key: "large", revision: 1, value: LARGE_VALUE }],
         revision: 1,
+        epoch: 0,
         complete: true,
     });
     await reader.read();
@@ -94,6 +95,7 @@
     source.configuration.apply({
         rows: [{ key: "k", revision: 3, value: "withdrawn since" }],
         revision: 3,
+        epoch: 0,
         complete: true,
     });
     await reader.read();
@@ -107,11 +109,13 @@
     reader.configuration.apply({
         rows: [{ key: "k", revision: 2, value: "old" }],
         revision: 2,
+        epoch: 0,
         complete: true,
     });
     source.configuration.apply({
         rows: [{ key: "k", revision: 3, value: "new" }],
         revision: 3,
+        epoch: 0,
         complete: true,
     });
     await reader.read();
--- a/src/node/replica/__tests__/row-replica.spec.ts
+++ b/src/node/replica/__tests__/row-replica.spec.ts
@@ -13,8 +13,8 @@
     return { key, revision, value: undefined };
 }
 
-function changes(revision: number, rows: readonly RowChange[], complete = false): ChangeSet {
-    return { revision, rows, complete };
+function changes(revision: number, rows: readonly RowChange[], complete = false, epoch = 0): ChangeSet {
+    return { epoch, revision, rows, complete };
 }
 
 test("changes of an older revision are not applied", () => {
@@ -54,9 +54,9 @@
     const source = createRowReplica();
     const peer = createRowReplica();
     source.apply(changes(2, [row("a", 1), row("b", 2)], true));
-    peer.apply(source.changesSince(0));
+    peer.apply(source.changesSince({ epoch: 0, revision: 0 }));
     source.apply(changes(3, [removal("a", 3)]));
-    peer.apply(source.changesSince(peer.revision));
+    peer.apply(source.changesSince({ epoch: 0, revision: peer.revision }));
     assert.deepEqual(
         peer.list().map(change => change.key),
         ["b"],
@@ -77,10 +77,10 @@
                 store.set(key, change);
                 first.apply(changes(revision, [change]));
                 if (sync) {
-                    second.apply(first.changesSince(second.revision));
+                    second.apply(first.changesSince({ epoch: 0, revision: second.revision }));
                 }
             }
-            second.apply(first.changesSince(second.revision));
+            second.apply(first.changesSince({ epoch: 0, revision: second.revision }));
             const expected = [...store.values()]
                 .filter(change => change.value !== undefined)
                 .map(c => c.value);
--- a/src/node/replica/row-exchange.ts
+++ b/src/node/replica/row-exchange.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "../common/clock.js";
 import type { JsonValue } from "../common/json.js";
 import type { Peers } from "../peers/peers.js";
-import type { ChangeSet, RowChange } from "./row-replica.js";
+import type { ChangeSet, RowChange, TableVersion } from "./row-replica.js";
 import { TABLE_NAMES } from "./shared-store.js";
 import type { TableName } from "./shared-store.js";
 import type { Replicas } from "./store-sync.js";
@@ -26,6 +26,8 @@
 type WireRow = readonly [key: string, revision: number, value?: string, encoding?: typeof COMPRESSED];
 
 interface WireChangeSet {
+    /** Epoch of the store. Earlier versions do not send it. */
+    readonly epoch?: number;
     readonly revision: number;
     readonly complete: boolean;
     readonly rows: readonly WireRow[];
@@ -34,6 +36,8 @@
 interface WireRequest {
     /** Revision up to which the calling node has each table. */
     readonly since: Readonly<Record<TableName, number>>;
+    /** Epoch of the store of each table at the calling node. Earlier versions do not send it. */
+    readonly epochs?: Readonly<Record<TableName, number>>;
     /** Maximum time to wait for changes, milliseconds. 0 requests an immediate response. */
     readonly waitMilliseconds: number;
     /** Whether the calling node reads compressed values. Nodes of earlier versions do not. */
@@ -45,6 +49,8 @@
     /** Nodes between the caller and the store, the responding one first. Earlier versions do not send it. */
     readonly path?: readonly string[];
     readonly storeMilliseconds?: number;
+    /** Epoch of the store of each table at the responding node. Earlier versions do not send it. */
+    readonly epochs?: Readonly<Record<TableName, number>>;
     readonly tables: Partial<Record<TableName, WireChangeSet>>;
 }
 
@@ -52,6 +58,8 @@
 export interface PeerResponse {
     /** Whether the peer is connected to the store, directly or through a relay. */
     readonly isCurrent: boolean;
+    /** Whether the peer has a table of an earlier epoch of the store than this node, or does not state it. */
+    readonly isBehind: boolean;
     /** Nodes between this node and the store, the peer first; `undefined` for a peer of an earlier version. */
     readonly path: readonly string[] | undefined;
     /** Offset of the store's clock from the monotonic clock as estimated by the peer, milliseconds. */
@@ -125,6 +133,7 @@
 
 function encode(changes: ChangeSet, acceptsCompressed: boolean): WireChangeSet {
     return {
+        epoch: changes.epoch,
         revision: changes.revision,
         complete: changes.complete,
         rows: changes.rows.map(row => encodeRow(row, acceptsCompressed)),
@@ -132,7 +141,8 @@
 }
 
 function decode(changes: WireChangeSet): ChangeSet {
-    return { revision: changes.revision, complete: changes.complete, rows: changes.rows.map(decodeRow) };
+    const { epoch = 0, revision, complete } = changes;
+    return { epoch, revision, complete, rows: changes.rows.map(decodeRow) };
 }
 
 export function createRowExchange(options: RowExchangeOptions): RowExchange {
@@ -150,8 +160,24 @@
         });
     }
 
-    const hasChanges = (since: WireRequest["since"]): boolean =>
-        TABLE_NAMES.some(table => changedRevision[table] > since[table]);
+    const epochs = (): Readonly<Record<TableName, number>> => ({
+        configuration: replicas.configuration.epoch,
+        runners: replicas.runners.epoch,
+        nodes: replicas.nodes.epoch,
+    });
+
+    /** Version of a table at the calling node. A node of an earlier version knows no epochs. */
+    const versionAt = (request: WireRequest, table: TableName): TableVersion => ({
+        epoch: request.epochs?.[table] ?? replicas[table].epoch,
+        revision: request.since[table],
+    });
+
+    const hasChangesSince = (table: TableName, { epoch, revision }: TableVersion): boolean =>
+        replicas[table].epoch > epoch ||
+        (replicas[table].epoch === epoch && changedRevision[table] > revision);
+
+    const hasChanges = (request: WireRequest): boolean =>
+        TABLE_NAMES.some(table => hasChangesSince(table, versionAt(request, table)));
 
     const waitForChanges = (milliseconds: number): Promise<void> =>
         new Promise(resolve => {
@@ -164,15 +190,17 @@
             waiting.add(end);
         });
 
-    const createResponse = ({ since, acceptsCompressed }: WireRequest): WireResponse => {
+    const createResponse = (request: WireRequest): WireResponse => {
         const tables: Partial<Record<TableName, WireChangeSet>> = {};
         for (const table of TABLE_NAMES) {
             const replica = replicas[table];
-            if (changedRevision[table] > since[table]) {
-                tables[table] = encode(replica.changesSince(since[table]), acceptsCompressed === true);
+            const { epoch, revision } = replica;
+            const since = versionAt(request, table);
+            if (hasChangesSince(table, since)) {
+                tables[table] = encode(replica.changesSince(since), request.acceptsCompressed === true);
             }
-            else if (replica.revision > since[table]) {
-                tables[table] = { revision: replica.revision, complete: false, rows: [] };
+            else if (epoch === since.epoch && revision > since.revision) {
+                tables[table] = { epoch, revision, complete: false, rows: [] };
             }
         }
         const offset = options.clockOffset();
@@ -180,13 +208,14 @@
             isCurrent: options.isCurrent(),
             path: options.path(),
             ...(offset === undefined ? {} : { storeMilliseconds: clock.now() + offset }),
+            epochs: epochs(),
             tables,
         };
     };
 
     peers.handle(METHOD, async params => {
         const request = params as unknown as WireRequest;
-        if (request.waitMilliseconds > 0 && options.isCurrent() && !hasChanges(request.since)) {
+        if (request.waitMilliseconds > 0 && options.isCurrent() && !hasChanges(request)) {
             await waitForChanges(request.waitMilliseconds);
         }
         return createResponse(request) as unknown as JsonValue;
@@ -195,8 +224,12 @@
     const applyTables = ({ isCurrent, tables }: WireResponse, mayStartStale: boolean): readonly TableName[] =>
         TABLE_NAMES.filter(table => {
             const changes = tables[table];
-            const { revision } = replicas[table];
-            if (changes === undefined || changes.revision <= revision) {
+            const { epoch, revision } = replicas[table];
+            const isNewer =
+                changes !== undefined &&
+                ((changes.epoch ?? 0) > epoch ||
+                    ((changes.epoch ?? 0) === epoch && changes.revision > revision));
+            if (!isNewer) {
                 return false;
             }
             if (revision === 0 && !isCurrent && !mayStartStale) {
@@ -209,7 +242,7 @@
     return {
         readFrom: async (address, waitMilliseconds, timeoutMilliseconds, mayStartStale) => {
             const since = Object.fromEntries(TABLE_NAMES.map(table => [table, replicas[table].revision]));
-            const request = { since, waitMilliseconds, acceptsCompressed: true };
+            const request = { since, epochs: epochs(), waitMilliseconds, acceptsCompressed: true };
             const response = (await peers.call(
                 address,
                 METHOD,
@@ -217,8 +250,10 @@
                 timeoutMilliseconds,
             )) as unknown as WireResponse;
             const { storeMilliseconds } = response;
+            const own = epochs();
             return {
                 isCurrent: response.isCurrent,
+                isBehind: TABLE_NAMES.some(table => (response.epochs?.[table] ?? -1) < own[table]),
                 path: response.path,
                 clockOffset: storeMilliseconds === undefined ? undefined : storeMilliseconds - clock.now(),
                 changed: applyTables(response, mayStartStale),
--- a/src/node/replica/shared-store.ts
+++ b/src/node/replica/shared-store.ts
@@ -28,6 +28,8 @@
 
 /** Atomic: all writes are applied when every condition holds, otherwise none. */
 export interface StoreTransaction {
+    /** Epoch of the store in which the revisions of the conditions were read; `undefined` without conditions. */
+    readonly epoch?: number;
     readonly conditions: readonly RowCondition[];
     readonly writes: readonly RowWrite[];
 }
@@ -59,7 +61,11 @@
      * @throws StoreError
      */
     readChanges(table: TableName, after: number, waitMilliseconds: number): Promise<ChangeSet | undefined>;
-    /** Returns whether the transaction was applied. @throws StoreError */
+    /**
+     * Returns whether the transaction was applied.
+     *
+     * @throws StoreError also when it was applied in another epoch than that of its conditions, as `unknown`
+     */
     transact(transaction: StoreTransaction): Promise<boolean>;
     /** Offset of the store's clock from the monotonic clock, from the last response, milliseconds. */
     clockOffset(): number | undefined;
--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -134,7 +134,8 @@
         const wait = readTables.has(table) && !failedTables.has(table) ? FEED_WAIT_MILLISECONDS[table] : 0;
         const isFirst = replica.revision === 0 && !readTables.has(table);
         const changes = isFirst ? undefined : await store.readChanges(table, replica.revision, wait);
-        replica.apply(changes ?? (await store.readTable(table)));
+        const isOfEpoch = changes !== undefined && changes.epoch === replica.epoch;
+        replica.apply(isOfEpoch ? changes : await store.readTable(table));
     };
 
     const waitForRelayLoss = (): Promise<void> => new Promise(resolve => wakeReaders.push(resolve));
@@ -210,10 +211,13 @@
     };
 
     /** Two nodes that follow each other would both take themselves for current, so a path must not return. */
-    const unusableReason = ({ isCurrent, path }: PeerResponse): string | undefined => {
+    const unusableReason = ({ isCurrent, isBehind, path }: PeerResponse): string | undefined => {
         if (!isCurrent) {
             return "it has lost the store";
         }
+        if (isBehind) {
+            return "it has not seen that the store was restored";
+        }
         if (path === undefined) {
             return "it orders relays by the rules of an earlier version";
         }
--- a/src/node/router/adapter.ts
+++ b/src/node/router/adapter.ts
@@ -18,6 +18,11 @@
     readonly store: SharedStore;
     /** Returns `undefined` for rows that the router does not use. @throws Error when a row is malformed */
     decodeOrder(row: RowChange): OperatorOrder | undefined;
+    /**
+     * Compares the age of two values of a row: positive when the candidate is the later one, negative when it is
+     * the earlier one, 0 when the values do not tell.
+     */
+    compareAge(table: "configuration" | "runners", candidate: RowChange, known: RowChange): number;
     /** Returns `undefined` when the entry does not describe a valid upstream. */
     decodeUpstream(key: string, value: string): UpstreamEntry | undefined;
     encodeShiftReport(order: ShiftOrder, stage: ShiftStage): RowWrite;
--- a/src/node/router/node-list.ts
+++ b/src/node/router/node-list.ts
@@ -67,7 +67,7 @@
     });
 
     const announce = (): void => {
-        if (replica.revision === 0 || replica.get(key)?.value === value) {
+        if (replica.revision === 0 || replica.stored(key)?.value === value) {
             return;
         }
         store.transact({ conditions: [], writes: [{ table: "nodes", key, value }] }).catch((error: unknown) =>
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -22,8 +22,9 @@
 import { createQuarantineRows } from "../quarantine/quarantine-rows.js";
 import { createPeerSync } from "../replica/peer-sync.js";
 import { relaysOf } from "../replica/relay-choice.js";
+import { createRestoredRows } from "../replica/restored-rows.js";
 import { createRowExchange } from "../replica/row-exchange.js";
-import { createRowReplica } from "../replica/row-replica.js";
+import { createRowReplica, preferStored } from "../replica/row-replica.js";
 import { createStoreSync } from "../replica/store-sync.js";
 import { createLoadBoard } from "../upstream-table/load-board.js";
 import { createLoadReports } from "../upstream-table/load-reports.js";
@@ -108,9 +109,9 @@
     });
     const metrics = createMetricsRegistry();
     const replicas = {
-        configuration: createRowReplica(),
-        runners: createRowReplica(),
-        nodes: createRowReplica(),
+        configuration: createRowReplica((...rows) => adapter.compareAge("configuration", ...rows)),
+        runners: createRowReplica((...rows) => adapter.compareAge("runners", ...rows)),
+        nodes: createRowReplica(preferStored),
     };
     let stopping = false;
 
@@ -149,6 +150,15 @@
         lifecycle,
         logger: createLogger("nodes"),
     });
+    createRestoredRows({
+        node: config.node.id,
+        nodeCount: () => nodes.count(),
+        replicas,
+        store: adapter.store,
+        isDisconnected: () => sync.isDisconnected(),
+        lifecycle,
+        logger: createLogger("store"),
+    });
     createPeerSync({
         exchange,
         addresses: () => {
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -199,14 +199,14 @@
             rows.set(`${table === "reports" ? "report:" : ""}${key}`, { value: value!, revision });
             if (table !== "reports") {
                 replicas.forEach(replica =>
-                    replica.apply({ revision, complete: false, rows: [{ key, revision, value }] }),
+                    replica.apply({ epoch: 0, revision, complete: false, rows: [{ key, revision, value }] }),
                 );
             }
         }
         return Promise.resolve(true);
     };
     const store = { transact } as unknown as SharedStore;
-    replicas.forEach(replica => replica.apply({ revision: 1, complete: true, rows: [] }));
+    replicas.forEach(replica => replica.apply({ epoch: 0, revision: 1, complete: true, rows: [] }));
     const lifecycle = createLifecycle();
     const coordinators = names.map((node, index) =>
         createShiftCoordinator({
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -94,7 +94,7 @@
 const SUFFICIENT_ANSWERS = 2 * MINIMUM_ANSWERS;
 
 interface TrackedShift {
-    readonly order: ShiftOrder;
+    order: ShiftOrder;
     readonly detectedAt: number;
     /** Sessions in the canary share that sent a request to this node during the collection period. */
     readonly sessions: Set<string>;
@@ -112,6 +112,8 @@
     regressionSince: number | undefined;
     reportedAt: number;
     nextWriteAt: number;
+    /** Epoch of the store, to write the state and the report again after a restore. */
+    epoch: number;
     /** The later of the state that this node decided and the state that it read. */
     state: ShiftState | undefined;
     isWriting: boolean;
@@ -148,11 +150,31 @@
         return state?.orderRevision === order.revision ? state : undefined;
     };
 
+    const firstWriteDelay = (revision: number): number =>
+        hashToUnit(`${options.node}\u0000${revision}`) * FIRST_WRITE_SPREAD_MILLISECONDS;
+
+    /** Goes on with a shift whose order has another revision in a restored store. */
+    const renumber = (shift: TrackedShift, order: ShiftOrder): void => {
+        shift.order = order;
+        shift.state = shift.state && { ...shift.state, orderRevision: order.revision };
+        shift.hasReportedSessions = false;
+        shift.hasReportedAnswers = false;
+        shift.reportedErrors = 0;
+        shift.reportedAnswers = 0;
+        shift.nextWriteAt = clock.now() + firstWriteDelay(order.revision);
+        reportedByService.delete(order.service);
+        collectedByService.delete(order.service);
+    };
+
     const trackShift = (order: ShiftOrder): TrackedShift => {
         const known = shifts.get(order.service);
         if (known?.order.revision === order.revision) {
             return known;
         }
+        if (known !== undefined && known.order.revision === order.replaces) {
+            renumber(known, order);
+            return known;
+        }
         const now = clock.now();
         const shift: TrackedShift = {
             order,
@@ -166,8 +188,8 @@
             regressionSince: undefined,
             hasReportedAnswers: false,
             reportedAt: 0,
-            nextWriteAt:
-                now + hashToUnit(`${options.node}\u0000${order.revision}`) * FIRST_WRITE_SPREAD_MILLISECONDS,
+            nextWriteAt: now + firstWriteDelay(order.revision),
+            epoch: replica.epoch,
             state: undefined,
             isWriting: false,
         };
@@ -213,7 +235,7 @@
                       },
                   ];
         store
-            .transact({ conditions, writes })
+            .transact({ epoch: stateRevision === undefined ? undefined : replica.epoch, conditions, writes })
             .then(applied => {
                 if (applied) {
                     onWritten();
@@ -239,10 +261,14 @@
         write(
             shift,
             [
-                { table: "nodes", key: stateKey(order.service), value: JSON.stringify(state) },
+                {
+                    table: "nodes",
+                    key: stateKey(order.service),
+                    value: JSON.stringify({ ...state, epoch: replica.epoch }),
+                },
                 options.encodeReport(order, state.stage),
             ],
-            replica.get(stateKey(order.service))?.revision ?? 0,
+            replica.stored(stateKey(order.service))?.revision ?? 0,
         );
     };
 
@@ -352,6 +378,10 @@
         if (stored !== undefined) {
             mergeState(shift, stored, "store");
         }
+        if (shift.epoch !== replica.epoch) {
+            shift.epoch = replica.epoch;
+            shift.nextWriteAt = clock.now() + firstWriteDelay(order.revision);
+        }
         const time = storeTime();
         if (time === undefined || shift.isWriting || clock.now() < shift.nextWriteAt) {
             return;
@@ -365,7 +395,8 @@
             });
             return;
         }
-        if (stored !== undefined && shift.state.stage !== stored.stage) {
+        const isWritten = stored?.stage === shift.state.stage && (stored.epoch ?? 0) >= replica.epoch;
+        if (!isWritten && (stored !== undefined || order.replaces !== undefined)) {
             writeStage(shift, shift.state);
             return;
         }
@@ -417,13 +448,17 @@
                 return versionRule(undefined, undefined, NO_VIEW, settings);
             }
             const stored = readStoredState(order);
-            const tracked = shifts.get(service);
-            const trackedState = tracked?.order.revision === order.revision ? tracked.state : undefined;
+            const known = shifts.get(service);
+            const isTracked =
+                known !== undefined &&
+                (known.order.revision === order.revision || known.order.revision === order.replaces);
+            const tracked = isTracked ? known : undefined;
+            const trackedState = tracked?.state;
             const state =
                 stored !== undefined && trackedState !== undefined
                     ? laterState(stored, trackedState)
                     : (stored ?? trackedState);
-            const sessions = tracked?.order.revision === order.revision ? tracked.sessions : undefined;
+            const sessions = tracked?.sessions;
             const view: ShiftView = {
                 storeTime: storeTime(),
                 isCollected: sessionKey =>
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -18,6 +18,8 @@
     readonly durationMilliseconds: number;
     /** Revision of the order's row; distinguishes orders for the same version. */
     readonly revision: number;
+    /** Revision of the same order before a restored store had lost it. */
+    readonly replaces?: number;
 }
 
 export type ShiftStage = "canary" | "full" | "completed" | "rolled-back";
@@ -28,6 +30,8 @@
     readonly stage: ShiftStage;
     /** Start of the shift on the store's clock, milliseconds. */
     readonly startedAt: number;
+    /** Epoch of the store in which the state and its report were written. Earlier versions do not write it. */
+    readonly epoch?: number;
 }
 
 export interface ShiftSettings {
