Release a restored row by whether the store lacks it or has it in another form

A node that was cut off during a restore and has come back held an upstream whose entry had been removed since for 5 s, longer than it may be behind (3 s); an upstream that had left came back after the same 5 s, when its entry in the copy may not have lapsed yet. Found by reading; no play showed it. An entry that the store lacks is now held for 2.5 s, one that was removed or is leaving for 8 s.

--- a/src/node/replica/restored-rows.ts
+++ b/src/node/replica/restored-rows.ts
@@ -13,13 +13,21 @@
 import type { SharedStore, TableName } from "./shared-store.js";
 import type { Replicas } from "./store-sync.js";
 
+/** How long rows are held while the store can be reached, milliseconds. */
+interface HoldTimes {
+    /** Rows that the store lacks. */
+    readonly missing: number;
+    /** Rows that the store has in another form, or that were removed before the restore. */
+    readonly changed: number;
+}
+
 /**
- * Time for the writers of a table to write its rows again, milliseconds. Upstreams write every second or so; the
- * entries of those that have left lapse after three missing ones.
+ * Operators write again when the store is back. Upstreams do so within two seconds, and an entry that is missing
+ * then is gone; the entries of upstreams that have left lapse some seconds later, without a writer.
  */
-const HOLD_MILLISECONDS: Readonly<Record<Exclude<TableName, "nodes">, number>> = {
-    configuration: 10_000,
-    runners: 5000,
+const HOLD_MILLISECONDS: Readonly<Record<Exclude<TableName, "nodes">, HoldTimes>> = {
+    configuration: { missing: 10_000, changed: 10_000 },
+    runners: { missing: 2500, changed: 8000 },
 };
 
 const TICK_MILLISECONDS = 200;
@@ -79,6 +87,20 @@
         }
     };
 
+    const release = (table: keyof typeof HOLD_MILLISECONDS, elapsedMilliseconds: number): void => {
+        const replica = replicas[table];
+        const { missing, changed } = HOLD_MILLISECONDS[table];
+        const isReleased = ({ key, value }: RowChange): boolean => {
+            const isMissing = value !== undefined && replica.stored(key) === undefined;
+            return elapsedMilliseconds >= (isMissing ? missing : changed);
+        };
+        const released = replica.held().filter(isReleased).length;
+        if (released > 0) {
+            logger.info("Rows of the restored store take effect.", { table, rows: released });
+            replica.releaseHeld(isReleased);
+        }
+    };
+
     const tick = (): void => {
         if (options.isDisconnected()) {
             return;
@@ -88,12 +110,8 @@
             if (table === "nodes") {
                 writeNext(milliseconds);
             }
-            else if (milliseconds >= HOLD_MILLISECONDS[table]) {
-                logger.info("The rows of the restored store take effect.", {
-                    table,
-                    rows: replicas[table].held().length,
-                });
-                replicas[table].releaseHeld();
+            else {
+                release(table, milliseconds);
             }
             if (replicas[table].held().length === 0) {
                 reachedMilliseconds.delete(table);
--- a/src/node/replica/row-replica.ts
+++ b/src/node/replica/row-replica.ts
@@ -45,8 +45,8 @@
     stored(key: string): RowChange | undefined;
     /** Rows in effect that the store lacks or has in another form. `value` is `undefined` for removed rows. */
     held(): readonly RowChange[];
-    /** Ends the hold: the store's rows take effect. */
-    releaseHeld(): void;
+    /** Ends the hold of rows: those of the store take effect. @param isReleased @default all rows */
+    releaseHeld(isReleased?: (row: RowChange) => boolean): void;
     /**
      * Applies the rows that are newer than this copy, and notifies the listeners of the changed ones. Changes of
      * a later epoch are applied only as a whole table.
@@ -184,14 +184,18 @@
             ),
         stored: key => rows.get(key),
         held: () => [...held.values()],
-        releaseHeld: () => {
-            const released = [...held.keys()];
-            const changes = released.flatMap(key => {
-                const row = rows.get(key);
-                const wasInEffect = inEffect(key) !== undefined;
-                return row ?? (wasInEffect ? { key, revision, value: undefined } : []);
-            });
-            held.clear();
+        releaseHeld: (isReleased = () => true) => {
+            const changes: RowChange[] = [];
+            for (const row of [...held.values()].filter(isReleased)) {
+                held.delete(row.key);
+                const stored = rows.get(row.key);
+                if (stored !== undefined) {
+                    changes.push(stored);
+                }
+                else if (row.value !== undefined) {
+                    changes.push({ key: row.key, revision, value: undefined });
+                }
+            }
             if (changes.length > 0) {
                 notify(changes);
             }
