Tell a shift's order from another with the revision of a lost one

A restored store can give the revision of a lost order to an order for another version. Nodes that knew the lost one took the new one for it, with its stage. Found by reading; no play showed it. The version is now a part of the order's identity, and of that of its state.

--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -13,6 +13,8 @@
     MINIMUM_ANSWERS,
     isCanarySession,
     isCollecting,
+    isSameOrder,
+    isStateOf,
     laterState,
     nextStage,
     versionRule,
@@ -147,7 +149,7 @@
     const readStoredState = (order: ShiftOrder): ShiftState | undefined => {
         const row = replica.get(stateKey(order.service));
         const state = row === undefined ? undefined : (JSON.parse(row.value!) as ShiftState);
-        return state?.orderRevision === order.revision ? state : undefined;
+        return state !== undefined && isStateOf(state, order) ? state : undefined;
     };
 
     const firstWriteDelay = (revision: number): number =>
@@ -168,11 +170,10 @@
 
     const trackShift = (order: ShiftOrder): TrackedShift => {
         const known = shifts.get(order.service);
-        if (known?.order.revision === order.revision) {
-            return known;
-        }
-        if (known !== undefined && known.order.revision === order.replaces) {
-            renumber(known, order);
+        if (known !== undefined && isSameOrder(known.order, order)) {
+            if (known.order.revision !== order.revision) {
+                renumber(known, order);
+            }
             return known;
         }
         const now = clock.now();
@@ -449,10 +450,7 @@
             }
             const stored = readStoredState(order);
             const known = shifts.get(service);
-            const isTracked =
-                known !== undefined &&
-                (known.order.revision === order.revision || known.order.revision === order.replaces);
-            const tracked = isTracked ? known : undefined;
+            const tracked = known !== undefined && isSameOrder(known.order, order) ? known : undefined;
             const trackedState = tracked?.state;
             const state =
                 stored !== undefined && trackedState !== undefined
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -51,6 +51,19 @@
 
 const STAGE_ORDER: readonly ShiftStage[] = ["canary", "full", "completed", "rolled-back"];
 
+/** Whether two rows are the same order; `second` may have been written again in a restored store. */
+export function isSameOrder(first: ShiftOrder, second: ShiftOrder): boolean {
+    return (
+        first.version === second.version &&
+        (first.revision === second.revision || first.revision === second.replaces)
+    );
+}
+
+/** A restored store can give the revision of a lost order to one for another version. */
+export function isStateOf(state: ShiftState, order: ShiftOrder): boolean {
+    return state.orderRevision === order.revision && state.version === order.version;
+}
+
 /** Returns the later of two states of the same order. */
 export function laterState(first: ShiftState, second: ShiftState): ShiftState {
     return STAGE_ORDER.indexOf(second.stage) > STAGE_ORDER.indexOf(first.stage) ? second : first;
