Pass on removals of rows that a relay has not seen

What callers may see: an upstream that has left, or a key that was withdrawn, stays in use at a node that follows another one. The node had read the row itself; its relay read the table before it and after its removal. Cause: a relay that reads a whole table cannot name the removals between, and one that reads the removal of a row it never had did not count it as a change.

A whole table now begins what a relay can tell as changes, and every change of a stored row counts.

--- a/src/node/replica/__tests__/row-replica.spec.ts
+++ b/src/node/replica/__tests__/row-replica.spec.ts
@@ -90,3 +90,20 @@
         }),
     );
 });
+
+test("a row that was removed before a whole read does not stay at a peer that knew it", () => {
+    const relay = createRowReplica();
+    const follower = createRowReplica();
+    relay.apply(changes(1, [], true));
+    follower.apply(changes(2, [{ key: "a", revision: 2, value: "1" }], true));
+    relay.apply(changes(3, [], true));
+    follower.apply(relay.changesSince(follower));
+    assert.equal(follower.get("a"), undefined);
+});
+
+test("a removal of a row that a relay has not seen changes its table", () => {
+    const relay = createRowReplica();
+    relay.apply(changes(1, [], true));
+    relay.apply(changes(3, [removal("a", 3)]));
+    assert.equal(relay.changedRevision, 3);
+});
--- a/src/node/replica/row-exchange.ts
+++ b/src/node/replica/row-exchange.ts
@@ -148,16 +148,10 @@
 export function createRowExchange(options: RowExchangeOptions): RowExchange {
     const { peers, replicas, clock } = options;
     const waiting = new Set<() => void>();
-    /** Revision at which rows of a table last changed. Spares calls without changes a scan of the rows. */
-    const changedRevision: Record<TableName, number> = { configuration: 0, runners: 0, nodes: 0 };
-
     const completeWaitingCalls = (): void => [...waiting].forEach(complete => complete());
 
     for (const table of TABLE_NAMES) {
-        replicas[table].onChange(() => {
-            changedRevision[table] = replicas[table].revision;
-            completeWaitingCalls();
-        });
+        replicas[table].onChange(completeWaitingCalls);
     }
 
     const epochs = (): Readonly<Record<TableName, number>> => ({
@@ -172,9 +166,10 @@
         revision: request.since[table],
     });
 
-    const hasChangesSince = (table: TableName, { epoch, revision }: TableVersion): boolean =>
-        replicas[table].epoch > epoch ||
-        (replicas[table].epoch === epoch && changedRevision[table] > revision);
+    const hasChangesSince = (table: TableName, since: TableVersion): boolean => {
+        const { epoch, changedRevision } = replicas[table];
+        return epoch > since.epoch || (epoch === since.epoch && changedRevision > since.revision);
+    };
 
     const hasChanges = (request: WireRequest): boolean =>
         TABLE_NAMES.some(table => hasChangesSince(table, versionAt(request, table)));
--- a/src/node/replica/row-replica.ts
+++ b/src/node/replica/row-replica.ts
@@ -37,6 +37,8 @@
     readonly epoch: number;
     /** Revision of the table in its epoch; 0 before the first read. */
     readonly revision: number;
+    /** Revision at which a row of the store last changed or was removed. */
+    readonly changedRevision: number;
     /** Row in effect: the held one, or else the store's. */
     get(key: string): RowChange | undefined;
     /** Rows in effect whose key starts with the prefix. */
@@ -78,6 +80,7 @@
     let revision = 0;
     /** Removals up to this revision are not available. A peer with an older revision gets the whole table. */
     let discardedRevision = 0;
+    let changedRevision = 0;
 
     const recordRemoval = (change: RowChange): void => {
         removed.delete(change.key);
@@ -177,6 +180,9 @@
         get revision() {
             return revision;
         },
+        get changedRevision() {
+            return changedRevision;
+        },
         get: inEffect,
         list: (prefix = "") =>
             [...rows.values(), ...[...held.values()].filter(row => !rows.has(row.key))].flatMap(row =>
@@ -210,6 +216,7 @@
                 return;
             }
             let applied: readonly RowChange[];
+            let hasChanged = changes.complete || isFirst;
             if (isLaterEpoch && !isFirst) {
                 applied = rebase(changes);
             }
@@ -217,11 +224,16 @@
                 const candidates = changes.complete
                     ? [...changes.rows, ...removalsOfUnlistedRows(changes)]
                     : changes.rows;
+                hasChanged ||= candidates.some(isNewer);
                 applied = candidates.flatMap(change => applyRow(change) ?? []);
             }
             epoch = changes.epoch;
             revision = changes.revision;
-            if (isFirst || isLaterEpoch) {
+            if (hasChanged) {
+                changedRevision = revision;
+            }
+            if (changes.complete || isFirst) {
+                // A whole table does not tell which rows were removed since the last read.
                 discardedRevision = revision;
             }
             if (applied.length > 0 || isFirst || isLaterEpoch) {
