--- a/src/node/replica/__tests__/restored-store.spec.ts
+++ b/src/node/replica/__tests__/restored-store.spec.ts
@@ -302,3 +302,46 @@
     ]);
     assert.ok(calls < 20, `${calls} calls`);
 });
+
+test("a missing upstream is dropped before the node counts as in touch, and one that left stays away", async context => {
+    context.mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"] });
+    const lifecycle = createLifecycle();
+    const replicas = {
+        configuration: createRowReplica(),
+        runners: createRowReplica(),
+        nodes: createRowReplica(preferStored),
+    };
+    let isDisconnected = false;
+    createRestoredRows({
+        node: "n0",
+        nodeCount: () => 1,
+        replicas,
+        store: { transact: () => Promise.resolve(true) },
+        isDisconnected: () => isDisconnected,
+        lifecycle,
+        logger: silentLogging("store"),
+    });
+    await lifecycle.start();
+    context.after(() => lifecycle.stop());
+    const store = createStoreModel();
+    const { runners } = replicas;
+    store.write("left", "1");
+    store.copy();
+    readStore(runners, store);
+    store.write("left", undefined);
+    store.write("missing", "1");
+    readStore(runners, store);
+    store.restore();
+    readStore(runners, store);
+    const keysAfter = (milliseconds: number): readonly string[] => {
+        context.mock.timers.tick(milliseconds);
+        return runners.list().map(({ key }) => key);
+    };
+    isDisconnected = true;
+    assert.deepEqual(keysAfter(10_000), ["missing"], "nobody can write while the store is away");
+    isDisconnected = false;
+    assert.deepEqual(keysAfter(2000), ["missing"]);
+    assert.deepEqual(keysAfter(1000), []);
+    assert.deepEqual(keysAfter(4000), []);
+    assert.deepEqual(keysAfter(2000), ["left"]);
+});
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -5,7 +5,7 @@
 import { createSeededRandom } from "../../common/random.js";
 import { createLifecycle } from "../../lifecycle/lifecycle.js";
 import { silentLogging } from "../../logging/logging.js";
-import { createRowReplica } from "../../replica/row-replica.js";
+import { createRowReplica, preferStored } from "../../replica/row-replica.js";
 import type { SharedStore, StoreTransaction } from "../../replica/shared-store.js";
 import { createShiftCoordinator } from "../shift-coordinator.js";
 import { nextStage, versionRule } from "../shift.js";
@@ -183,8 +183,10 @@
 
 /** Coordinators of several nodes on one store with conditional writes. */
 function createNodes(names: readonly string[]) {
-    const rows = new Map<string, { readonly value: string; readonly revision: number }>();
-    const replicas = names.map(() => createRowReplica());
+    let rows = new Map<string, { readonly value: string; readonly revision: number }>();
+    const replicas = names.map(() => createRowReplica(preferStored));
+    let currentOrder = order;
+    let epoch = 0;
     let revision = 1;
     let isStoreUp = true;
     const transact = ({ conditions, writes }: StoreTransaction): Promise<boolean> => {
@@ -199,7 +201,7 @@
             rows.set(`${table === "reports" ? "report:" : ""}${key}`, { value: value!, revision });
             if (table !== "reports") {
                 replicas.forEach(replica =>
-                    replica.apply({ epoch: 0, revision, complete: false, rows: [{ key, revision, value }] }),
+                    replica.apply({ epoch, revision, complete: false, rows: [{ key, revision, value }] }),
                 );
             }
         }
@@ -211,7 +213,7 @@
     const coordinators = names.map((node, index) =>
         createShiftCoordinator({
             node,
-            orders: () => [order],
+            orders: () => [currentOrder],
             replica: replicas[index]!,
             store,
             clockOffset: () => 0,
@@ -228,6 +230,16 @@
         lifecycle,
         evidenceRows: () => [...rows.keys()].filter(key => key.startsWith("evidence/")).length,
         report: () => rows.get("report:shift")?.value,
+        copy: () => ({ rows: new Map(rows), revision }),
+        restore: (copy: { rows: typeof rows; revision: number }, rewritten: ShiftOrder) => {
+            rows = new Map(copy.rows);
+            revision = copy.revision;
+            epoch += 1;
+            currentOrder = rewritten;
+            const stored = [...rows].filter(([key]) => !key.startsWith("report:"));
+            const tableRows = stored.map(([key, row]) => ({ key, ...row }));
+            replicas.forEach(replica => replica.apply({ epoch, revision, complete: true, rows: tableRows }));
+        },
         setStoreUp: (up: boolean) => {
             isStoreUp = up;
         },
@@ -243,6 +255,45 @@
     }
 }
 
+for (const [name, revision] of [
+    ["another revision", 77],
+    ["the same revision", order.revision],
+] as const) {
+    test(`a rolled-back shift stays so when a restored store gives its order ${name}`, async context => {
+        context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+        const { coordinators, lifecycle, report, copy, restore } = createNodes(["a", "b"]);
+        await lifecycle.start();
+        await advanceTime(context.mock.timers, 1000);
+        const canary = copy();
+        for (let index = 0; index < 60; index++) {
+            coordinators[index % 2]!.record("engines", "v2", "reports", index % 3 === 0, fastTiming);
+            coordinators[index % 2]!.record("engines", "v1", "reports", true, fastTiming);
+        }
+        await advanceTime(context.mock.timers, 4000);
+        assert.equal(report(), "rolled-back");
+        restore(canary, { ...order, revision, replaces: order.revision });
+        assert.equal(report(), "canary", "the report of the copy");
+        for (let elapsed = 0; elapsed < 3000; elapsed += 100) {
+            await advanceTime(context.mock.timers, 100);
+            coordinators.forEach(({ rule }) => assert.equal(rule("engines").isAllowed("v2"), false));
+        }
+        assert.equal(report(), "rolled-back");
+        await lifecycle.stop();
+    });
+}
+
+test("an order for another version that gets the revision of a lost one begins anew", async context => {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const { coordinators, lifecycle, copy, restore } = createNodes(["a", "b"]);
+    await lifecycle.start();
+    const empty = copy();
+    await advanceTime(context.mock.timers, 1000);
+    restore(empty, { ...order, version: "v3" });
+    await advanceTime(context.mock.timers, 1000);
+    coordinators.forEach(({ states }) => assert.equal(states().get("engines")?.version, "v3"));
+    await lifecycle.stop();
+});
+
 test("a healthy version is completed within the duration", async context => {
     context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
     const { coordinators, lifecycle, report } = createNodes(["a", "b"]);
