Log the fingerprint of a request that its upstream broke off

Ids, remaining times and resume positions differ between copies and stay out; so do other headers, which clients and proxies vary. The workspace stands for the caller, since its keys are interchangeable.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -15,6 +15,7 @@
 import { recordSend } from "../upstream-table/upstream-table.js";
 import type { RegisteredUpstream } from "../upstream-table/upstream-table.js";
 import type { UpstreamSend } from "../upstreams/send.js";
+import { fingerprintOf } from "./request-fingerprint.js";
 import { createResponseSink } from "./response-sink.js";
 import { isSuccess, runAttempt } from "./attempt.js";
 import type { AttemptResult, BufferedResponse } from "./attempt.js";
@@ -136,6 +137,13 @@
         const deadline = request.arrivedAt + Math.min(callerMilliseconds, route.timeoutMilliseconds);
         const sessionKey = sessionKeyOf(head);
         const sharedParts = sharedPartsOf(head.promptParts);
+        const fingerprint = fingerprintOf({
+            method: request.method,
+            host: request.headers.host ?? "",
+            path: request.path,
+            workspace: request.workspace?.name,
+            body: request.body,
+        });
         const excluded = new Set<string>();
         const routerChoosesModel = head.allowsModelChoice && route.models.length > 0;
         let model = routerChoosesModel ? firstModel(route.models) : undefined;
@@ -328,6 +336,7 @@
                 result: result.kind,
                 reason: "reason" in result ? result.reason : undefined,
                 brokenOff: isBrokenOff ? true : undefined,
+                fingerprint: isBrokenOff ? fingerprint : undefined,
                 unframed: isUnframed ? true : undefined,
                 events: events > 0 ? events : undefined,
                 confidence: headConfidence,
