--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { RequestTrace } from "../logging/request-log.js";
-import { sharedPartsOf } from "../quarantine/quarantine.js";
+import { sharedPartsOf } from "../quarantine/suspects.js";
 import type { Quarantine } from "../quarantine/quarantine.js";
 import { isRepeatable } from "../routes/entities.js";
 import type { Route, Service, Workspace } from "../routes/entities.js";
@@ -425,7 +425,7 @@
                 if (rejection !== undefined) {
                     retryAfterSeconds = rejection.retryAfterSeconds;
                     trace.add("attempts", "A part of the prompt is in quarantine.", {
-                        promptPart: rejection.part,
+                        promptPart: rejection.suspect,
                         retryAfterSeconds,
                     });
                     return rejectOrFail(progress(false), QUARANTINE_REASON);
--- a/src/node/quarantine/__tests__/quarantine-rows.spec.ts
+++ b/src/node/quarantine/__tests__/quarantine-rows.spec.ts
@@ -6,9 +6,10 @@
 import { createRowReplica } from "../../replica/row-replica.js";
 import { StoreError } from "../../replica/shared-store.js";
 import type { SharedStore, StoreTransaction } from "../../replica/shared-store.js";
-import { createQuarantine, sharedPartsOf } from "../quarantine.js";
+import { createQuarantine } from "../quarantine.js";
 import type { Quarantine } from "../quarantine.js";
 import { createQuarantineRows } from "../quarantine-rows.js";
+import { sharedPartsOf } from "../suspects.js";
 
 const BAD = sharedPartsOf([{ id: "bad" }, { id: "own" }]);
 
@@ -119,7 +120,7 @@
         [["quarantine/bad"]],
     );
     const later = await fixture.startNode("n2");
-    assert.equal(later.reject(BAD, Date.now())?.part, "bad");
+    assert.equal(later.reject(BAD, Date.now())?.suspect, "bad");
     const [[, lastCrashAt] = []] = [...later.entries()];
     assert.equal(lastCrashAt, [...node.entries()][0]![1]);
 });
@@ -129,7 +130,7 @@
     const [node, cutOff] = [await fixture.startNode("n1"), await fixture.startNode("n2")];
     await crashThreeTimes(context, node);
     await pass(context, 500);
-    assert.equal(cutOff.reject(BAD, Date.now())?.part, "bad");
+    assert.equal(cutOff.reject(BAD, Date.now())?.suspect, "bad");
 });
 
 test("the row of a revoked quarantine is removed", async context => {
@@ -148,7 +149,7 @@
     const [first, second] = [await fixture.startNode("n1"), await fixture.startNode("n2")];
     await crashThreeTimes(context, first);
     await pass(context, 4000);
-    assert.equal(second.reject(BAD, Date.now())?.part, "bad");
+    assert.equal(second.reject(BAD, Date.now())?.suspect, "bad");
     first.recordAnswer(BAD, Date.now());
     second.merge(
         { ...first.report(Date.now())!, answers: [["bad", 0]], crashes: [], quarantined: [] },
--- a/src/node/quarantine/__tests__/quarantine.spec.ts
+++ b/src/node/quarantine/__tests__/quarantine.spec.ts
@@ -3,11 +3,12 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { createSeededRandom } from "../../common/random.js";
-import { blameParts } from "../blame.js";
+import { blameSuspects } from "../blame.js";
 import { createCrashEvidence } from "../crash-evidence.js";
 import type { WireEvidence } from "../crash-evidence.js";
-import { createQuarantine, QUARANTINE_MILLISECONDS, sharedPartsOf } from "../quarantine.js";
+import { createQuarantine, QUARANTINE_MILLISECONDS } from "../quarantine.js";
 import type { Quarantine, QuarantineReport } from "../quarantine.js";
+import { sharedPartsOf } from "../suspects.js";
 
 const BAD = sharedPartsOf([{ id: "system" }, { id: "bad" }, { id: "own" }]);
 const SOUND = sharedPartsOf([{ id: "system" }, { id: "document" }, { id: "own" }]);
@@ -193,7 +194,7 @@
     fleet.restart(4);
     assert.equal(fleet.nodes[4]!.reject(BAD, fleet.now), undefined);
     fleet.pass(1000);
-    assert.equal(fleet.nodes[4]!.reject(BAD, fleet.now)?.part, "bad");
+    assert.equal(fleet.nodes[4]!.reject(BAD, fleet.now)?.suspect, "bad");
 });
 
 test("one node at a time tries a part again, with one request", () => {
@@ -277,7 +278,7 @@
         ["bad", 1],
     ]);
     const crashes = [0, 100, 200].map(at => ({ at, suspects }));
-    assert.deepEqual([...blameParts(crashes).keys()], ["bad"]);
+    assert.deepEqual([...blameSuspects(crashes).keys()], ["bad"]);
 });
 
 test("merged evidence does not depend on the order in which reports arrive", () => {
--- a/src/node/quarantine/crash-evidence.ts
+++ b/src/node/quarantine/crash-evidence.ts
@@ -1,18 +1,12 @@
 /**
- * Evidence of all nodes about crashes of upstreams: which processes broke off, which prompt parts waited for an
- * answer there, and which parts upstreams have answered. The merged state does not depend on the order in
+ * Evidence of all nodes about crashes of upstreams: which processes broke off, which suspects waited for an
+ * answer there, and which of them upstreams have answered. The merged state does not depend on the order in
  * which reports arrive.
  */
 import { createBoundedMap } from "../common/bounded-map.js";
-import { blameParts } from "./blame.js";
+import { blameSuspects } from "./blame.js";
 import type { Blame } from "./blame.js";
-
-/** Part of a prompt that several requests share. */
-export interface SharedPart {
-    readonly id: string;
-    /** Position in the prompt. */
-    readonly position: number;
-}
+import type { Suspect } from "./suspects.js";
 
 /** Ages are in milliseconds, because the nodes have no common clock. */
 export interface WireEvidence {
@@ -21,21 +15,21 @@
         process: string,
         age: number,
         refuted: 0 | 1,
-        suspects: readonly (readonly [part: string, position: number])[],
+        suspects: readonly (readonly [suspect: string, position: number])[],
     ])[];
-    readonly answers: readonly (readonly [part: string, age: number])[];
+    readonly answers: readonly (readonly [suspect: string, age: number])[];
 }
 
 export interface CrashEvidence {
     /** Records that an upstream broke off a request before its answer began. */
-    recordBreak(process: string, parts: readonly SharedPart[], now: number): void;
+    recordBreak(process: string, suspects: readonly Suspect[], now: number): void;
     /** Records a response of a process to a request that was sent at `sentAt`. */
     recordResponse(process: string, sentAt: number, now: number): void;
-    /** Records that an upstream has begun to answer a prompt with these parts. */
-    recordAnswer(parts: readonly SharedPart[], now: number): void;
-    /** Monotonic time at which a part was last answered, as far as this node knows. */
-    answeredAt(part: string): number | undefined;
-    /** Parts that explain the crashes of the last minute. */
+    /** Records that an upstream has answered these suspects. */
+    recordAnswer(suspects: readonly Suspect[], now: number): void;
+    /** Monotonic time at which a suspect was last answered, as far as this node knows. */
+    answeredAt(suspect: string): number | undefined;
+    /** Suspects that explain the crashes of the last minute. */
     blamed(now: number): ReadonlyMap<string, Blame>;
     /** Adds the evidence of another node. */
     merge(evidence: WireEvidence, now: number): void;
@@ -49,7 +43,7 @@
 const CRASH_VALIDITY_MILLISECONDS = 60_000;
 
 /**
- * Time for which an answer clears a part, milliseconds. A part that crashes upstreams is never answered, so the
+ * Time for which an answer clears a suspect, milliseconds. One that crashes upstreams is never answered, so the
  * time covers outages in which no upstream can answer.
  */
 const ANSWER_VALIDITY_MILLISECONDS = 60_000;
@@ -66,10 +60,10 @@
 /** Time for which a node passes on what it learned, milliseconds: several reports. */
 const NEWS_MILLISECONDS = 500;
 
-/** Upper bounds on the state. Prompt parts are chosen by callers. */
+/** Upper bounds on the state. Suspects are chosen by callers. */
 const MAXIMUM_CRASHES = 64;
 const MAXIMUM_SUSPECTS = 32;
-const MAXIMUM_ANSWERED_PARTS = 8192;
+const MAXIMUM_ANSWERED_SUSPECTS = 8192;
 const MAXIMUM_PROCESSES = 4096;
 const MAXIMUM_SHARED_ANSWERS = 256;
 
@@ -87,20 +81,20 @@
 
 export function createCrashEvidence(): CrashEvidence {
     const crashes = createBoundedMap<KnownCrash>(MAXIMUM_CRASHES);
-    const answers = createBoundedMap<number>(MAXIMUM_ANSWERED_PARTS);
+    const answers = createBoundedMap<number>(MAXIMUM_ANSWERED_SUSPECTS);
     /** Time at which the last request that a process responded to was sent. */
     const responses = createBoundedMap<number>(MAXIMUM_PROCESSES);
-    /** Time at which this node learned that a suspected part was answered. */
+    /** Time at which this node learned that a suspect of a crash was answered. */
     const sharedAnswers = createBoundedMap<number>(MAXIMUM_SHARED_ANSWERS);
     let revision = 0;
 
-    const isInnocent = (part: string, crashedAt: number): boolean => {
-        const answeredAt = answers.get(part);
+    const isInnocent = (suspect: string, crashedAt: number): boolean => {
+        const answeredAt = answers.get(suspect);
         return answeredAt !== undefined && crashedAt - answeredAt < ANSWER_VALIDITY_MILLISECONDS;
     };
 
-    const isSuspected = (part: string): boolean =>
-        [...crashes.entries()].some(([, { suspects }]) => suspects.has(part));
+    const isSuspected = (suspect: string): boolean =>
+        [...crashes.entries()].some(([, { suspects }]) => suspects.has(suspect));
 
     const hasRespondedAfter = (process: string, crashedAt: number): boolean => {
         const sentAt = responses.get(process);
@@ -111,8 +105,8 @@
         );
     };
 
-    const shareAnswer = (part: string, now: number): void => {
-        sharedAnswers.set(part, now);
+    const shareAnswer = (suspect: string, now: number): void => {
+        sharedAnswers.set(suspect, now);
         revision += 1;
     };
 
@@ -128,8 +122,8 @@
         const crashedAt = Math.min(at, known?.at ?? Infinity);
         const refuted = isRefuted || known?.isRefuted === true || hasRespondedAfter(process, crashedAt);
         suspects
-            .filter(([part]) => isInnocent(part, crashedAt) && known?.suspects.has(part) !== true)
-            .forEach(([part]) => shareAnswer(part, now));
+            .filter(([id]) => isInnocent(id, crashedAt) && known?.suspects.has(id) !== true)
+            .forEach(([id]) => shareAnswer(id, now));
         const isUnchanged =
             known !== undefined && merged.size === known.suspects.size && refuted === known.isRefuted;
         if (isUnchanged && crashedAt === known.at) {
@@ -142,12 +136,12 @@
     };
 
     return {
-        recordBreak: (process, parts, now) => {
-            const suspects = parts
+        recordBreak: (process, suspects, now) => {
+            const possible = suspects
                 .filter(({ id }) => !isInnocent(id, now))
                 .map(({ id, position }) => [id, position] as const);
-            if (suspects.length > 0) {
-                addCrash(process, now, suspects, false, now);
+            if (possible.length > 0) {
+                addCrash(process, now, possible, false, now);
             }
         },
         recordResponse: (process, sentAt, now) => {
@@ -157,8 +151,8 @@
                 addCrash(process, crash.at, [], true, now);
             }
         },
-        recordAnswer: (parts, now) => {
-            for (const { id } of parts) {
+        recordAnswer: (suspects, now) => {
+            for (const { id } of suspects) {
                 const wasInnocent = isInnocent(id, now);
                 answers.set(id, now);
                 if (!wasInnocent && isSuspected(id)) {
@@ -166,22 +160,22 @@
                 }
             }
         },
-        answeredAt: part => answers.get(part),
+        answeredAt: suspect => answers.get(suspect),
         blamed: now =>
-            blameParts(
+            blameSuspects(
                 [...crashes.entries()]
                     .filter(([, { at, isRefuted }]) => !isRefuted && now - at < CRASH_VALIDITY_MILLISECONDS)
                     .map(([, { at, suspects }]) => ({
                         at,
-                        suspects: new Map([...suspects].filter(([part]) => !isInnocent(part, at))),
+                        suspects: new Map([...suspects].filter(([id]) => !isInnocent(id, at))),
                     })),
             ),
         merge: (evidence, now) => {
-            for (const [part, age] of evidence.answers) {
+            for (const [id, age] of evidence.answers) {
                 const answeredAt = now - age;
-                if (answeredAt > (answers.get(part) ?? -Infinity) + CLOCK_MARGIN_MILLISECONDS) {
-                    answers.set(part, answeredAt);
-                    shareAnswer(part, now);
+                if (answeredAt > (answers.get(id) ?? -Infinity) + CLOCK_MARGIN_MILLISECONDS) {
+                    answers.set(id, answeredAt);
+                    shareAnswer(id, now);
                 }
             }
             for (const [process, age, refuted, suspects] of evidence.crashes) {
@@ -206,9 +200,9 @@
             const newAnswers = [...sharedAnswers.entries()]
                 .filter(([, learnedAt]) => now - learnedAt < NEWS_MILLISECONDS)
                 .slice(-MAXIMUM_REPORTED_ANSWERS)
-                .flatMap(([part]) => {
-                    const answeredAt = answers.get(part);
-                    return answeredAt === undefined ? [] : [[part, Math.round(now - answeredAt)] as const];
+                .flatMap(([id]) => {
+                    const answeredAt = answers.get(id);
+                    return answeredAt === undefined ? [] : [[id, Math.round(now - answeredAt)] as const];
                 });
             return newCrashes.length + newAnswers.length === 0
                 ? undefined
--- a/src/node/quarantine/quarantine-rows.ts
+++ b/src/node/quarantine/quarantine-rows.ts
@@ -1,4 +1,4 @@
-/** Keeps the parts in quarantine in the store, so that nodes that start or were cut off know them. */
+/** Keeps the quarantine in the store, so that nodes that start or were cut off know it. */
 import { rendezvousOwner } from "../common/hash.js";
 import type { Clock } from "../common/clock.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
@@ -31,8 +31,8 @@
 const TICK_MILLISECONDS = 200;
 
 /**
- * Time after the last crash before its part is written, milliseconds. Evidence that clears a part usually
- * arrives by then; a node that hears no other node learns the part only from its row.
+ * Time after the last crash before its suspect is written, milliseconds. Evidence that clears a suspect usually
+ * arrives by then; a node that hears no other node learns the suspect only from its row.
  */
 const WRITE_DELAY_MILLISECONDS = 300;
 
@@ -41,7 +41,7 @@
 
 export function createQuarantineRows(options: QuarantineRowsOptions): void {
     const { quarantine, replica, store, clock, logger } = options;
-    /** Parts that have a row. The rows of those that the quarantine does not hold are removed. */
+    /** Suspects that have a row. The rows of those that the quarantine does not hold are removed. */
     const stored = new Set<string>();
     let isWriting = false;
 
@@ -49,20 +49,20 @@
         if (!key.startsWith(KEY_PREFIX)) {
             return;
         }
-        const part = key.slice(KEY_PREFIX.length);
+        const suspect = key.slice(KEY_PREFIX.length);
         if (value === undefined) {
-            stored.delete(part);
-            quarantine.release(part, "its row was removed from the store");
+            stored.delete(suspect);
+            quarantine.release(suspect, "its row was removed from the store");
             return;
         }
         const { lastCrashAt } = JSON.parse(value) as QuarantineRow;
         const offset = options.clockOffset();
-        stored.add(part);
-        quarantine.restore(part, offset === undefined ? clock.now() : lastCrashAt - offset);
+        stored.add(suspect);
+        quarantine.restore(suspect, offset === undefined ? clock.now() : lastCrashAt - offset);
     };
 
-    const write = async (part: string, row: QuarantineRow | undefined): Promise<void> => {
-        const key = `${KEY_PREFIX}${part}`;
+    const write = async (suspect: string, row: QuarantineRow | undefined): Promise<void> => {
+        const key = `${KEY_PREFIX}${suspect}`;
         const { epoch } = replica;
         const revision = replica.stored(key)?.revision ?? 0;
         isWriting = true;
@@ -74,8 +74,8 @@
             });
         }
         catch (error) {
-            logger.warn("Could not write a quarantined part; trying again.", {
-                promptPart: part,
+            logger.warn("Could not write a quarantine; trying again.", {
+                suspect,
                 error: (error as Error).message,
             });
         }
@@ -88,21 +88,21 @@
         const now = clock.now();
         const offset = options.clockOffset();
         const entries = quarantine.entries();
-        for (const [part, lastCrashAt] of entries) {
-            const text = replica.get(`${KEY_PREFIX}${part}`)?.value;
+        for (const [suspect, lastCrashAt] of entries) {
+            const text = replica.get(`${KEY_PREFIX}${suspect}`)?.value;
             const storedAt = text === undefined ? undefined : (JSON.parse(text) as QuarantineRow).lastCrashAt;
             const isStored =
                 offset === undefined ||
                 (storedAt !== undefined && lastCrashAt + offset - storedAt < RENEWAL_MILLISECONDS);
-            if (!isStored && quarantine.isWitness(part) && now - lastCrashAt >= WRITE_DELAY_MILLISECONDS) {
-                return write(part, { lastCrashAt: lastCrashAt + offset });
+            if (!isStored && quarantine.isWitness(suspect) && now - lastCrashAt >= WRITE_DELAY_MILLISECONDS) {
+                return write(suspect, { lastCrashAt: lastCrashAt + offset });
             }
         }
-        for (const part of stored) {
+        for (const suspect of stored) {
             const isResponsible =
-                quarantine.isWitness(part) || rendezvousOwner(part, options.nodes()) === options.node;
-            if (!entries.has(part) && isResponsible) {
-                return write(part, undefined);
+                quarantine.isWitness(suspect) || rendezvousOwner(suspect, options.nodes()) === options.node;
+            if (!entries.has(suspect) && isResponsible) {
+                return write(suspect, undefined);
             }
         }
         return undefined;
