Keep a request that crashes upstreams away from them when it comes again

Cause: crashes were blamed on shared parts of prompts only. A request without a prompt left no evidence, and nothing told that two requests with different ids were the same one. Class: evidence kept by an identity that a part of the traffic does not have.

Each attempt that is broken off now also makes the request itself a suspect, by its fingerprint; blame, reports, rows, withdrawals and trials are those of prompt parts. Of suspects with the same crashes the one that fewer requests share is blamed. Requests that may run once and streams leave evidence, too.

A node that loses all upstreams at once blames no request (test).

Still red: a stream with neither length nor chunks that crashes between two events.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -4,8 +4,9 @@
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { RequestTrace } from "../logging/request-log.js";
-import { sharedPartsOf } from "../quarantine/suspects.js";
 import type { Quarantine } from "../quarantine/quarantine.js";
+import { describeSuspect, kindOfSuspect, requestSuspectOf, sharedPartsOf } from "../quarantine/suspects.js";
+import type { SuspectKind } from "../quarantine/suspects.js";
 import { isRepeatable } from "../routes/entities.js";
 import type { Route, Service, Workspace } from "../routes/entities.js";
 import type { LoadBoard } from "../upstream-table/load-board.js";
@@ -111,8 +112,16 @@
 /** Share of the retry budget that is reserved for retries and unavailable to escalations. */
 const ESCALATION_RESERVE = 0.25;
 
-/** Reason given to callers whose prompt is not sent. */
-const QUARANTINE_REASON = "a part of the prompt has crashed upstreams";
+/** Reasons given to callers whose request is not sent. */
+const QUARANTINE_REASONS: Readonly<Record<SuspectKind, string>> = {
+    "prompt part": "a part of the prompt has crashed upstreams",
+    request: "the request has crashed upstreams",
+};
+
+const QUARANTINE_MESSAGES: Readonly<Record<SuspectKind, string>> = {
+    "prompt part": "A part of the prompt is in quarantine.",
+    request: "The request is in quarantine.",
+};
 
 /** Status of an upstream that is not the one that the request names. */
 const HTTP_MISDIRECTED = 421;
@@ -136,7 +145,6 @@
         const callerMilliseconds = head.remainingMilliseconds ?? Infinity;
         const deadline = request.arrivedAt + Math.min(callerMilliseconds, route.timeoutMilliseconds);
         const sessionKey = sessionKeyOf(head);
-        const sharedParts = sharedPartsOf(head.promptParts);
         const fingerprint = fingerprintOf({
             method: request.method,
             host: request.headers.host ?? "",
@@ -144,6 +152,9 @@
             workspace: request.workspace?.name,
             body: request.body,
         });
+        const requestSuspects = [requestSuspectOf(fingerprint)];
+        const sharedParts = sharedPartsOf(head.promptParts);
+        const suspects = [...requestSuspects, ...sharedParts];
         const excluded = new Set<string>();
         const routerChoosesModel = head.allowsModelChoice && route.models.length > 0;
         let model = routerChoosesModel ? firstModel(route.models) : undefined;
@@ -184,7 +195,7 @@
             executions,
             rejections,
             hasBegun: sink.hasBegun(),
-            isSuspect: options.quarantine.isSuspect(sharedParts, clock.now()),
+            isSuspect: options.quarantine.isSuspect(suspects, clock.now()),
             remainingMilliseconds: deadline - clock.now(),
             hasCandidate,
             tryConsumeRetry: () => options.retryBudget.tryConsume(service.name, clock.now()),
@@ -255,9 +266,11 @@
                 isRepeatable(route) && choice.candidates > 1 && executions + 1 < route.maximumAttempts;
             const canConfirm =
                 options.retryBudget.remainingShare(service.name, sentAt) > 0 &&
-                !options.quarantine.isSuspect(sharedParts, sentAt);
+                !options.quarantine.isSuspect(suspects, sentAt);
             const withdrawal = new AbortController();
-            const endWatch = options.quarantine.watch(sharedParts, () => withdrawal.abort(QUARANTINE_REASON));
+            const endWatch = options.quarantine.watch(suspects, suspect =>
+                withdrawal.abort(QUARANTINE_REASONS[kindOfSuspect(suspect)]),
+            );
             const result = await runAttempt({
                 send: options.send,
                 request: {
@@ -312,15 +325,21 @@
             load.end();
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
-            if (result.kind === "delivered" && events === 0 && isSuccess(result.status)) {
-                options.quarantine.recordAnswer(sharedParts, endedAt);
+            if (result.kind === "delivered") {
+                const isWholeSuccess = events === 0 && isSuccess(result.status);
+                options.quarantine.recordAnswer(isWholeSuccess ? suspects : requestSuspects, endedAt);
             }
             const isBrokenOff = result.kind === "lost" && result.isBrokenOff === true;
             options.countAttempt(service.name, usedModel, result.kind);
             if (isBrokenOff) {
                 options.countBrokenOff(service.name, events > 0);
-                if (events === 0 && !options.isLeaving(upstream)) {
-                    options.quarantine.recordBreak(process, sharedParts, endedAt);
+                if (!options.isLeaving(upstream)) {
+                    // Once an answer has begun, the prompt has been read without a crash.
+                    options.quarantine.recordBreak(
+                        process,
+                        events === 0 ? suspects : requestSuspects,
+                        endedAt,
+                    );
                 }
             }
             recordResult(result, upstream, stratum, {
@@ -421,14 +440,15 @@
                         ? { kind: "pass-failure" }
                         : rejectOrFail(progress(false), "no upstream can take the request");
                 }
-                const rejection = options.quarantine.reject(sharedParts, clock.now());
+                const rejection = options.quarantine.reject(suspects, clock.now());
                 if (rejection !== undefined) {
                     retryAfterSeconds = rejection.retryAfterSeconds;
-                    trace.add("attempts", "A part of the prompt is in quarantine.", {
-                        promptPart: rejection.suspect,
+                    const kind = kindOfSuspect(rejection.suspect);
+                    trace.add("attempts", QUARANTINE_MESSAGES[kind], {
+                        ...describeSuspect(rejection.suspect),
                         retryAfterSeconds,
                     });
-                    return rejectOrFail(progress(false), QUARANTINE_REASON);
+                    return rejectOrFail(progress(false), QUARANTINE_REASONS[kind]);
                 }
                 const result = await attemptAt(choice);
                 const step = nextStep(result, progress(nextChoice() !== undefined));
--- a/src/node/quarantine/__tests__/quarantine.spec.ts
+++ b/src/node/quarantine/__tests__/quarantine.spec.ts
@@ -8,7 +8,7 @@
 import type { WireEvidence } from "../crash-evidence.js";
 import { createQuarantine, QUARANTINE_MILLISECONDS } from "../quarantine.js";
 import type { Quarantine, QuarantineReport } from "../quarantine.js";
-import { sharedPartsOf } from "../suspects.js";
+import { kindOfSuspect, requestSuspectOf, sharedPartsOf } from "../suspects.js";
 
 const BAD = sharedPartsOf([{ id: "system" }, { id: "bad" }, { id: "own" }]);
 const SOUND = sharedPartsOf([{ id: "system" }, { id: "document" }, { id: "own" }]);
@@ -306,3 +306,64 @@
         { numRuns: 300, seed: 24 },
     );
 });
+
+const REPEATED = requestSuspectOf("repeated");
+
+test("copies of a request that crash upstreams at different nodes quarantine the request, not its prompt", () => {
+    const fleet = createFleet(9);
+    for (let crash = 0; crash < 3; crash += 1) {
+        fleet.nodes[crash]!.recordBreak(`e${crash}`, [REPEATED, ...BAD], fleet.now);
+        fleet.nodes[crash + 3]!.recordBreak(`e${crash}`, [requestSuspectOf(`other${crash}`)], fleet.now);
+        fleet.pass(200);
+    }
+    assertQuarantined(fleet, [REPEATED.id]);
+});
+
+test("a prompt part that crashes upstreams under unlike requests is blamed, not one of the requests", () => {
+    const fleet = createFleet(9);
+    for (let crash = 0; crash < 3; crash += 1) {
+        fleet.nodes[crash]!.recordBreak(`e${crash}`, [requestSuspectOf(`own${crash}`), ...RARE], fleet.now);
+        fleet.pass(100);
+    }
+    assertQuarantined(fleet, ["rare"]);
+});
+
+test("a request that many callers send alike is not blamed for crashes around it", () => {
+    const fleet = createFleet(9);
+    fleet.nodes[8]!.recordAnswer([REPEATED], fleet.now);
+    for (let crash = 0; crash < 5; crash += 1) {
+        fleet.nodes[crash]!.recordBreak(`e${crash}`, [REPEATED], fleet.now);
+        fleet.pass(200);
+    }
+    assertQuarantined(fleet, []);
+});
+
+test("a node that loses all upstreams at once blames no request", () => {
+    const fleet = createFleet(9);
+    const requests = Array.from({ length: 12 }, (_, index) => requestSuspectOf(`r${index}`));
+    for (let upstream = 0; upstream < 12; upstream += 1) {
+        fleet.nodes[0]!.recordBreak(`e${upstream}`, [requests[upstream]!], fleet.now + upstream);
+        fleet.nodes[0]!.recordBreak(`e${upstream}`, [REPEATED], fleet.now + upstream);
+    }
+    fleet.pass(1000);
+    assertQuarantined(fleet, []);
+});
+
+test("the prompts of a fleet under load keep their innocence however many requests are answered", () => {
+    const fleet = createFleet(2);
+    fleet.nodes[0]!.recordAnswer(SOUND, fleet.now);
+    for (let request = 0; request < 20_000; request += 1) {
+        fleet.nodes[0]!.recordAnswer([requestSuspectOf(`r${request}`)], fleet.now);
+    }
+    for (let crash = 0; crash < 4; crash += 1) {
+        fleet.nodes[0]!.recordBreak(`e${crash}`, SOUND, fleet.now);
+        fleet.pass(100);
+    }
+    assertQuarantined(fleet, []);
+});
+
+test("a caller cannot name a request in the parts of a prompt", () => {
+    const [part] = sharedPartsOf([{ id: REPEATED.id }, { id: "own" }]);
+    assert.notEqual(part!.id, REPEATED.id);
+    assert.equal(kindOfSuspect(part!.id), "prompt part");
+});
--- a/src/node/quarantine/crash-evidence.ts
+++ b/src/node/quarantine/crash-evidence.ts
@@ -4,9 +4,11 @@
  * which reports arrive.
  */
 import { createBoundedMap } from "../common/bounded-map.js";
+import type { BoundedMap } from "../common/bounded-map.js";
 import { blameSuspects } from "./blame.js";
 import type { Blame } from "./blame.js";
-import type { Suspect } from "./suspects.js";
+import { kindOfSuspect } from "./suspects.js";
+import type { Suspect, SuspectKind } from "./suspects.js";
 
 /** Ages are in milliseconds, because the nodes have no common clock. */
 export interface WireEvidence {
@@ -21,7 +23,7 @@
 }
 
 export interface CrashEvidence {
-    /** Records that an upstream broke off a request before its answer began. */
+    /** Records that an upstream broke off a request; `suspects` are those that it had not answered. */
     recordBreak(process: string, suspects: readonly Suspect[], now: number): void;
     /** Records a response of a process to a request that was sent at `sentAt`. */
     recordResponse(process: string, sentAt: number, now: number): void;
@@ -62,7 +64,7 @@
 
 /** Upper bounds on the state. Suspects are chosen by callers. */
 const MAXIMUM_CRASHES = 64;
-const MAXIMUM_SUSPECTS = 32;
+const MAXIMUM_SUSPECTS = 64;
 const MAXIMUM_ANSWERED_SUSPECTS = 8192;
 const MAXIMUM_PROCESSES = 4096;
 const MAXIMUM_SHARED_ANSWERS = 256;
@@ -81,15 +83,21 @@
 
 export function createCrashEvidence(): CrashEvidence {
     const crashes = createBoundedMap<KnownCrash>(MAXIMUM_CRASHES);
-    const answers = createBoundedMap<number>(MAXIMUM_ANSWERED_SUSPECTS);
+    /** Answered requests are many, and must not displace the prompt parts. */
+    const answersByKind: Readonly<Record<SuspectKind, BoundedMap<number>>> = {
+        "prompt part": createBoundedMap(MAXIMUM_ANSWERED_SUSPECTS),
+        request: createBoundedMap(MAXIMUM_ANSWERED_SUSPECTS),
+    };
     /** Time at which the last request that a process responded to was sent. */
     const responses = createBoundedMap<number>(MAXIMUM_PROCESSES);
     /** Time at which this node learned that a suspect of a crash was answered. */
     const sharedAnswers = createBoundedMap<number>(MAXIMUM_SHARED_ANSWERS);
     let revision = 0;
 
+    const answersOf = (suspect: string): BoundedMap<number> => answersByKind[kindOfSuspect(suspect)];
+
     const isInnocent = (suspect: string, crashedAt: number): boolean => {
-        const answeredAt = answers.get(suspect);
+        const answeredAt = answersOf(suspect).get(suspect);
         return answeredAt !== undefined && crashedAt - answeredAt < ANSWER_VALIDITY_MILLISECONDS;
     };
 
@@ -154,13 +162,13 @@
         recordAnswer: (suspects, now) => {
             for (const { id } of suspects) {
                 const wasInnocent = isInnocent(id, now);
-                answers.set(id, now);
+                answersOf(id).set(id, now);
                 if (!wasInnocent && isSuspected(id)) {
                     shareAnswer(id, now);
                 }
             }
         },
-        answeredAt: suspect => answers.get(suspect),
+        answeredAt: suspect => answersOf(suspect).get(suspect),
         blamed: now =>
             blameSuspects(
                 [...crashes.entries()]
@@ -173,8 +181,8 @@
         merge: (evidence, now) => {
             for (const [id, age] of evidence.answers) {
                 const answeredAt = now - age;
-                if (answeredAt > (answers.get(id) ?? -Infinity) + CLOCK_MARGIN_MILLISECONDS) {
-                    answers.set(id, answeredAt);
+                if (answeredAt > (answersOf(id).get(id) ?? -Infinity) + CLOCK_MARGIN_MILLISECONDS) {
+                    answersOf(id).set(id, answeredAt);
                     shareAnswer(id, now);
                 }
             }
@@ -201,7 +209,7 @@
                 .filter(([, learnedAt]) => now - learnedAt < NEWS_MILLISECONDS)
                 .slice(-MAXIMUM_REPORTED_ANSWERS)
                 .flatMap(([id]) => {
-                    const answeredAt = answers.get(id);
+                    const answeredAt = answersOf(id).get(id);
                     return answeredAt === undefined ? [] : [[id, Math.round(now - answeredAt)] as const];
                 });
             return newCrashes.length + newAnswers.length === 0
--- a/src/node/quarantine/quarantine.ts
+++ b/src/node/quarantine/quarantine.ts
@@ -33,7 +33,7 @@
      * Registers a request that waits for its answer. `withdraw` is called when one of its suspects comes into
      * quarantine. Returns a function that removes the registration.
      */
-    watch(suspects: readonly Suspect[], withdraw: () => void): () => void;
+    watch(suspects: readonly Suspect[], withdraw: (suspect: string) => void): () => void;
     recordBreak(process: string, suspects: readonly Suspect[], now: number): void;
     recordResponse(process: string, sentAt: number, now: number): void;
     recordAnswer(suspects: readonly Suspect[], now: number): void;
@@ -97,7 +97,10 @@
     const evidence = createCrashEvidence();
     const quarantined = createBoundedMap<QuarantineEntry>(MAXIMUM_QUARANTINED_SUSPECTS);
     const witnessed = createBoundedMap<true>(MAXIMUM_QUARANTINED_SUSPECTS);
-    const waiting = new Set<{ readonly suspects: readonly Suspect[]; readonly withdraw: () => void }>();
+    const waiting = new Set<{
+        readonly suspects: readonly Suspect[];
+        readonly withdraw: (suspect: string) => void;
+    }>();
     let blamed: ReadonlyMap<string, Blame> = new Map();
     let evaluatedRevision = 0;
     let evaluatedAt = -Infinity;
@@ -129,7 +132,7 @@
             options.onQuarantined(suspect, derived?.crashes);
             [...waiting]
                 .filter(({ suspects }) => suspects.some(({ id }) => id === suspect))
-                .forEach(({ withdraw }) => withdraw());
+                .forEach(({ withdraw }) => withdraw(suspect));
         }
     };
 
--- a/src/node/quarantine/suspects.ts
+++ b/src/node/quarantine/suspects.ts
@@ -34,3 +34,10 @@
 export function kindOfSuspect(id: string): SuspectKind {
     return id.startsWith(REQUEST_PREFIX) ? "request" : "prompt part";
 }
+
+/** Fields of a log line about a suspect. */
+export function describeSuspect(id: string): Readonly<Record<string, string>> {
+    return kindOfSuspect(id) === "request"
+        ? { fingerprint: id.slice(REQUEST_PREFIX.length) }
+        : { promptPart: id };
+}
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -20,6 +20,8 @@
 import { createHttpPeers } from "../peers/http-peers.js";
 import { createQuarantine } from "../quarantine/quarantine.js";
 import { createQuarantineRows } from "../quarantine/quarantine-rows.js";
+import { describeSuspect, kindOfSuspect } from "../quarantine/suspects.js";
+import type { SuspectKind } from "../quarantine/suspects.js";
 import { createPeerSync } from "../replica/peer-sync.js";
 import { relaysOf } from "../replica/relay-choice.js";
 import { createRestoredRows } from "../replica/restored-rows.js";
@@ -230,10 +232,16 @@
     const quarantine = createQuarantine({
         node: config.node.id,
         nodes: nodes.ids,
-        onQuarantined: (part, crashes) =>
-            quarantineLog.warn("Put a prompt part into quarantine.", { promptPart: part, crashes }),
-        onReleased: (part, reason) =>
-            quarantineLog.info("Released a prompt part from quarantine.", { promptPart: part, reason }),
+        onQuarantined: (suspect, crashes) =>
+            quarantineLog.warn(`Put a ${kindOfSuspect(suspect)} into quarantine.`, {
+                ...describeSuspect(suspect),
+                crashes,
+            }),
+        onReleased: (suspect, reason) =>
+            quarantineLog.info(`Released a ${kindOfSuspect(suspect)} from quarantine.`, {
+                ...describeSuspect(suspect),
+                reason,
+            }),
         onNews: () => loadReports.sendSoon(),
     });
     createQuarantineRows({
@@ -367,7 +375,10 @@
     metrics.gauge("store_disconnected", () => (sync.isDisconnected() ? 1 : 0));
     metrics.gauge("store_relayed", () => (sync.relay() === undefined ? 0 : 1));
     metrics.gauge("log_lines_dropped", () => lines.discardedLines);
-    metrics.gauge("quarantined_prompt_parts", () => quarantine.entries().size);
+    const countQuarantined = (kind: SuspectKind): number =>
+        [...quarantine.entries().keys()].filter(suspect => kindOfSuspect(suspect) === kind).length;
+    metrics.gauge("quarantined_prompt_parts", () => countQuarantined("prompt part"));
+    metrics.gauge("quarantined_requests", () => countQuarantined("request"));
     metrics.gauge("limited_upstreams", () => limits.size);
     metrics.gauge("sessions", () => sessions.size);
 
