Serve callers through another node while this one reaches no upstream

Cause: a node did not know its own reachability, and had no use for the paths of the others. A missing connection counted as a rejection: it used up the retry budget and avoided its upstream for 250 ms only. Class: a local fault that is taken for a fault of what is behind it.

A node now probes random upstreams when attempts fail at two of them, hands its requests to a node of its region while no probe succeeds, and reports that it is isolated, so that nobody hands it theirs. An attempt that reaches no upstream is no retry, and avoids its upstream for 1 s.

Ruled out: leaving the balancer, which uses all nodes of a zone when fewer than half are ready and leaves open connections alone; a better choice among upstreams, since 494 of 494 attempts got no connection.

--- a/src/node/forwarding/__tests__/decisions.spec.ts
+++ b/src/node/forwarding/__tests__/decisions.spec.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { createRoute } from "../../routes/__tests__/route-table.spec.js";
-import { nextStep } from "../attempt-policy.js";
+import { nextStep, nextStepAfterHandover } from "../attempt-policy.js";
 import type { RequestProgress } from "../attempt-policy.js";
 import { createEventSplitter, EventStreamError } from "../event-splitter.js";
 import { escalationModel } from "../model-choice.js";
@@ -14,6 +14,7 @@
         route: createRoute(),
         executions: 1,
         rejections: 0,
+        unreached: 0,
         hasBegun: false,
         isSuspect: false,
         remainingMilliseconds: 1000,
@@ -60,6 +61,21 @@
     assert.equal(nextStep(lost, createProgress({ tryConsumeRetry: () => false })).kind, "fail");
 });
 
+test("an attempt that reached no upstream uses up no retry budget", () => {
+    const unreached = { ...notRun, isUnreached: true };
+    const withoutBudget = createProgress({ executions: 0, tryConsumeRetry: () => false });
+    assert.equal(nextStep(unreached, withoutBudget).kind, "retry");
+    assert.equal(nextStep(notRun, withoutBudget).kind, "reject");
+    assert.equal(nextStep(unreached, { ...withoutBudget, unreached: 4 }).kind, "reject");
+});
+
+test("a request that a helper may have run is not repeated, one that it did not know is", () => {
+    assert.equal(nextStepAfterHandover(lost).kind, "fail");
+    assert.equal(nextStepAfterHandover({ ...notRun, isUnreached: true }).kind, "retry");
+    assert.equal(nextStepAfterHandover({ ...notRun, status: 404 }).kind, "retry");
+    assert.equal(nextStepAfterHandover({ ...notRun, status: 503 }).kind, "reject");
+});
+
 test("retries do not exceed the budgeted ratio of requests", () => {
     const budget = createServiceRetryBudget({ ratio: 0.5, windowMilliseconds: 10_000, extra: () => 1 });
     for (let index = 0; index < 10; index++) {
--- a/src/node/forwarding/__tests__/forwarder-fixture.ts
+++ b/src/node/forwarding/__tests__/forwarder-fixture.ts
@@ -78,6 +78,9 @@
         attempt: textOf(headers, "attempt")!,
         ...(lastEventId === undefined ? {} : { "last-event-id": lastEventId }),
     }),
+    encodeHandover: () => {
+        throw new Error("not used");
+    },
     decodeResponse: (_status, headers) => ({
         attemptId: textOf(headers, "attempt"),
         isSigned: true,
@@ -216,6 +219,7 @@
             recordAnswer: () => undefined,
         },
         isLeaving: () => false,
+        recordUnanswered: () => undefined,
         modelChoice: { evenConfidence: 50, confidenceScale: 10, worthPerThousandTokens: 0 },
         coldAllowance: () => Infinity,
         limits: { hasRoom: () => true, record: () => undefined, consume: () => undefined },
--- a/src/node/forwarding/attempt-policy.ts
+++ b/src/node/forwarding/attempt-policy.ts
@@ -26,8 +26,10 @@
     readonly route: Route;
     /** Attempts that ran or may have run. */
     readonly executions: number;
-    /** Attempts that certainly did not run. */
+    /** Attempts that upstreams rejected. */
     readonly rejections: number;
+    /** Attempts that got no connection to their upstream. */
+    readonly unreached: number;
     /** The caller has received the beginning of a response. */
     readonly hasBegun: boolean;
     readonly remainingMilliseconds: number;
@@ -42,6 +44,12 @@
 /** Rejected attempts after which the request is rejected. More would only add load to full upstreams. */
 const MAXIMUM_REJECTIONS = 3;
 
+/** Attempts without a connection after which the request is rejected. */
+const MAXIMUM_UNREACHED = 4;
+
+const HTTP_TOO_MANY = 429;
+const HTTP_UNAVAILABLE = 503;
+
 /** Remaining time below which a request is not retried, milliseconds. */
 const MINIMUM_REMAINING_MILLISECONDS = 30;
 
@@ -74,11 +82,15 @@
         case "doubted":
             return { kind: "retry", reason: "escalated to a larger model" };
         case "not-run": {
+            // An attempt that reached no upstream added no load, so another one is no retry.
+            const mayAttempt = result.isUnreached
+                ? progress.unreached < MAXIMUM_UNREACHED
+                : progress.rejections < MAXIMUM_REJECTIONS;
             const mayRetry =
-                progress.rejections < MAXIMUM_REJECTIONS &&
+                mayAttempt &&
                 progress.remainingMilliseconds > MINIMUM_REMAINING_MILLISECONDS &&
                 progress.hasCandidate &&
-                progress.tryConsumeRetry();
+                (result.isUnreached === true || progress.tryConsumeRetry());
             return mayRetry
                 ? { kind: "retry", reason: result.reason }
                 : rejectOrFail(progress, result.reason);
@@ -93,3 +105,27 @@
                 : { kind: "fail", reason: result.reason };
     }
 }
+
+/**
+ * Decides after another node took over the request. A request that it may have run is not repeated, because its
+ * attempts are not known here.
+ */
+export function nextStepAfterHandover(result: AttemptResult): NextStep {
+    switch (result.kind) {
+        case "delivered":
+        case "doubted":
+            return { kind: "done" };
+        case "ended":
+            return { kind: result.reason === "caller left" ? "caller-left" : "timed-out" };
+        case "not-run": {
+            // A helper that lacks the newest configuration may not know the route or the key.
+            const isRefusedForLoad = result.status === HTTP_UNAVAILABLE || result.status === HTTP_TOO_MANY;
+            return { kind: isRefusedForLoad ? "reject" : "retry", reason: result.reason };
+        }
+        case "failed":
+            return { kind: "pass-failure" };
+        case "lost":
+        case "withdrawn":
+            return { kind: "fail", reason: result.reason };
+    }
+}
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -27,7 +27,15 @@
     /** The whole response was sent to the caller. */
     | { readonly kind: "delivered"; readonly status: number }
     /** The request did not run at this upstream and will not run later. */
-    | { readonly kind: "not-run"; readonly reason: string; readonly retryAfterSeconds?: number }
+    | {
+          readonly kind: "not-run";
+          readonly reason: string;
+          readonly retryAfterSeconds?: number;
+          /** No connection to the upstream was established. @default false */
+          readonly isUnreached?: boolean;
+          /** Status of a rejection. */
+          readonly status?: number;
+      }
     /** Low confidence: a larger model should replace the answer, of which nothing was sent to the caller. */
     | { readonly kind: "doubted"; readonly confidence: number }
     /** The upstream sent an error response, or a response whose end is uncertain. */
@@ -231,6 +239,7 @@
                     kind: "not-run",
                     reason: `upstream answered ${status}`,
                     retryAfterSeconds: head.retryAfterSeconds,
+                    status,
                 });
                 return;
             }
@@ -359,7 +368,9 @@
         const onFailure = (verdict: string, reason: string, isBrokenOff: boolean): void => {
             clearTimeout(discardTimer);
             finish(
-                verdict === "not-run" ? { kind: "not-run", reason } : { kind: "lost", reason, isBrokenOff },
+                verdict === "not-run"
+                    ? { kind: "not-run", reason, isUnreached: !isBrokenOff }
+                    : { kind: "lost", reason, isBrokenOff },
             );
         };
 
@@ -367,6 +378,7 @@
         cancelAfter(Math.min(options.connectMilliseconds, options.remainingMilliseconds), () => ({
             kind: "not-run",
             reason: "no connection in time",
+            isUnreached: true,
         }));
         const connectTimer = timers.at(-1);
         let headTimer: NodeJS.Timeout | undefined;
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -13,6 +13,8 @@
 import type { HeaderCodec, RequestHead } from "./protocol.js";
 
 export interface ForwardingServerOptions {
+    /** Name of the component that listens. */
+    readonly name: string;
     readonly address: string;
     readonly port: number;
     /** Maximum size of the request headers, bytes. */
@@ -304,7 +306,7 @@
         listener,
     );
 
-    addListener("caller listener", server, options, options.lifecycle);
+    addListener(options.name, server, options, options.lifecycle);
     options.lifecycle.add({
         name: "open responses",
         start: () => async () => {
--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -64,6 +64,14 @@
     decodeRequest(headers: IncomingHttpHeaders): RequestHead;
     /** Returns the caller's headers for the upstream, except those that the router sets or consumes. */
     encodeRequest(headers: IncomingHttpHeaders, fields: ForwardedFields): Record<string, string | string[]>;
+    /**
+     * Returns the caller's headers for another node that takes over the request: all but those of the
+     * connection, with the remaining time.
+     */
+    encodeHandover(
+        headers: IncomingHttpHeaders,
+        remainingMilliseconds: number,
+    ): Record<string, string | string[]>;
     decodeResponse(status: number, headers: IncomingHttpHeaders): ResponseHead;
     /** Returns the upstream's headers for the caller, without the connection-specific ones. */
     encodeResponse(headers: IncomingHttpHeaders): OutgoingHttpHeaders;
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -3,6 +3,8 @@
 import { nextPoll } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
+import { decodeHelperResponse, withoutRouterMark } from "../handover/router-response.js";
+import type { Helper } from "../handover/helpers.js";
 import type { RequestTrace } from "../logging/request-log.js";
 import type { Quarantine } from "../quarantine/quarantine.js";
 import { describeSuspect, kindOfSuspect, requestSuspectOf, sharedPartsOf } from "../quarantine/suspects.js";
@@ -20,7 +22,7 @@
 import { createResponseSink } from "./response-sink.js";
 import { isSuccess, runAttempt } from "./attempt.js";
 import type { AttemptResult, BufferedResponse } from "./attempt.js";
-import { nextStep, rejectOrFail } from "./attempt-policy.js";
+import { nextStep, nextStepAfterHandover, rejectOrFail } from "./attempt-policy.js";
 import type { NextStep, RequestProgress } from "./attempt-policy.js";
 import type { AttemptTiming } from "./attempt.js";
 import { endRequest } from "./request-end.js";
@@ -55,6 +57,15 @@
     readonly callerLeft: AbortSignal;
 }
 
+/** Hands requests to other nodes while this one has no path to the upstreams. */
+export interface Handover {
+    /** Whether this node has no path to the upstreams. */
+    readonly isNeeded: () => boolean;
+    /** Chooses a node that has not been tried for the request; `undefined` when none is left. */
+    readonly chooseHelper: (excluded: ReadonlySet<string>) => Helper | undefined;
+    readonly onHandover: () => void;
+}
+
 export interface RequestForwarderOptions {
     readonly clock: Clock;
     readonly random: Random;
@@ -76,6 +87,10 @@
         Quarantine,
         "reject" | "isSuspect" | "watch" | "recordBreak" | "recordResponse" | "recordAnswer"
     >;
+    /** Records an attempt that got no connection or no whole answer from an upstream. */
+    readonly recordUnanswered: (upstream: RegisteredUpstream) => void;
+    /** Absent for requests that another node handed over: they are not handed over again. */
+    readonly handover?: Handover;
     /** Whether the end of an upstream is planned, so that it is no crash. */
     readonly isLeaving: (upstream: RegisteredUpstream) => boolean;
     readonly modelChoice: ModelChoiceSettings;
@@ -160,19 +175,31 @@
         let model = routerChoosesModel ? firstModel(route.models) : undefined;
         let executions = 0;
         let rejections = 0;
+        let unreached = 0;
+        let handovers = 0;
         let hasWaited = false;
         let firstByteMilliseconds: number | undefined;
         let lastFailure: BufferedResponse | undefined;
         let retryAfterSeconds: number | undefined;
         const sink = createResponseSink({
             response,
-            encodeHeaders: headers => codec.encodeResponse(headers),
+            encodeHeaders: headers => codec.encodeResponse(withoutRouterMark(headers)),
             lastEventId: head.lastEventId,
             onFirstByte: () => {
                 firstByteMilliseconds = clock.now() - request.arrivedAt;
             },
         });
-        options.retryBudget.recordRequest(service.name, clock.now());
+        // A request that is handed over counts in the budget of the node that makes its attempts.
+        let isCounted = false;
+        const countRequest = (): void => {
+            if (!isCounted) {
+                isCounted = true;
+                options.retryBudget.recordRequest(service.name, clock.now());
+            }
+        };
+        if (options.handover?.isNeeded() !== true) {
+            countRequest();
+        }
 
         const nextChoice = (): Choice | undefined =>
             chooseUpstream(options.upstreamsOf(service.name), {
@@ -194,6 +221,7 @@
             route,
             executions,
             rejections,
+            unreached,
             hasBegun: sink.hasBegun(),
             isSuspect: options.quarantine.isSuspect(suspects, clock.now()),
             remainingMilliseconds: deadline - clock.now(),
@@ -241,6 +269,7 @@
             let headConfidence: number | undefined;
             let limitPerSecond: number | undefined;
             let isUnframed = false;
+            countRequest();
             const load = options.loads.begin(
                 upstream.entry.id,
                 head.promptTokens * relativeCost(service, usedModel),
@@ -381,15 +410,25 @@
                     break;
                 }
                 case "not-run":
-                    rejections += 1;
                     excluded.add(upstream.entry.id);
-                    upstream.health.recordRejection(now);
                     retryAfterSeconds = result.retryAfterSeconds;
+                    if (result.isUnreached === true) {
+                        unreached += 1;
+                        upstream.health.recordUnreached(now);
+                        options.recordUnanswered(upstream);
+                    }
+                    else {
+                        rejections += 1;
+                        upstream.health.recordRejection(now);
+                    }
                     return;
                 case "failed":
                 case "lost":
                     excluded.add(upstream.entry.id);
                     upstream.health.recordFailure(now);
+                    if (result.kind === "lost") {
+                        options.recordUnanswered(upstream);
+                    }
                     options.recordEvidence(upstream, stratum, false, timing);
                     lastFailure = result.kind === "failed" ? result.response : lastFailure;
                     break;
@@ -424,12 +463,76 @@
             return clock.now() >= deadline ? { kind: "timed-out" } : undefined;
         };
 
+        /** Lets another node serve the request; `undefined` when this node should do so. */
+        const tryHandover = async (excludedHelpers: Set<string>): Promise<NextStep | undefined> => {
+            const { handover } = options;
+            if (handover?.isNeeded() !== true || executions > 0 || sink.hasBegun()) {
+                return undefined;
+            }
+            const helper = handover.chooseHelper(excludedHelpers);
+            if (helper === undefined) {
+                return undefined;
+            }
+            excludedHelpers.add(helper.id);
+            handovers += 1;
+            handover.onHandover();
+            const sentAt = clock.now();
+            const remainingMilliseconds = Math.max(1, Math.floor(deadline - sentAt));
+            trace.add("attempts", "Handed the request over to another node.", {
+                node: helper.id,
+                remainingMilliseconds,
+            });
+            const result = await runAttempt({
+                send: options.send,
+                request: {
+                    address: `http://${helper.address}`,
+                    method: request.method,
+                    path: request.path,
+                    headers: codec.encodeHandover(request.headers, remainingMilliseconds),
+                    body: request.body.length === 0 ? undefined : request.body,
+                    dedicatedConnection: route.kind === "once",
+                    headTimeoutMilliseconds: 0,
+                    idleTimeoutMilliseconds: 0,
+                },
+                attemptId: head.attemptId,
+                sink,
+                decodeHead: (status, headers) => decodeHelperResponse(codec, status, headers),
+                // The helper has chosen the model.
+                tryEscalate: () => false,
+                connectMilliseconds: CONNECT_MILLISECONDS,
+                headMilliseconds: undefined,
+                gapMilliseconds: undefined,
+                remainingMilliseconds,
+                mayRetryUnframed: false,
+                callerLeft: request.callerLeft,
+            });
+            trace.add("attempts", "A handover ended.", {
+                node: helper.id,
+                result: result.kind,
+                reason: "reason" in result ? result.reason : undefined,
+                milliseconds: Math.round(clock.now() - sentAt),
+            });
+            if (result.kind === "not-run") {
+                retryAfterSeconds = result.retryAfterSeconds;
+            }
+            lastFailure = result.kind === "failed" ? result.response : lastFailure;
+            return nextStepAfterHandover(result);
+        };
+
         const runAttempts = async (): Promise<NextStep> => {
+            const excludedHelpers = new Set<string>();
             for (;;) {
                 const end = await reasonNotToSend();
                 if (end !== undefined) {
                     return end;
                 }
+                const handedOver = await tryHandover(excludedHelpers);
+                if (handedOver?.kind === "retry") {
+                    continue;
+                }
+                if (handedOver !== undefined) {
+                    return handedOver;
+                }
                 let choice = nextChoice();
                 if (choice === undefined && executions === 0 && (await waitForCapacity())) {
                     excluded.clear();
@@ -451,7 +554,8 @@
                     return rejectOrFail(progress(false), QUARANTINE_REASONS[kind]);
                 }
                 const result = await attemptAt(choice);
-                const step = nextStep(result, progress(nextChoice() !== undefined));
+                const canHandOver = options.handover?.isNeeded() === true;
+                const step = nextStep(result, progress(canHandOver || nextChoice() !== undefined));
                 if (step.kind !== "retry") {
                     return step;
                 }
@@ -467,6 +571,10 @@
             lastFailure,
             retryAfterSeconds,
         });
-        return { ...ended, attempts: executions + rejections, firstByteMilliseconds };
+        return {
+            ...ended,
+            attempts: executions + rejections + unreached + handovers,
+            firstByteMilliseconds,
+        };
     };
 }
--- /dev/null
+++ b/src/node/handover/reachability.ts
@@ -0,0 +1,103 @@
+/** Probes upstreams when attempts fail, and knows whether this node is isolated from them. */
+import { connect } from "node:net";
+import type { Clock } from "../common/clock.js";
+import type { Random } from "../common/random.js";
+import type { Lifecycle } from "../lifecycle/lifecycle.js";
+import type { Logger } from "../logging/logging.js";
+import { INITIAL_ISOLATION, isIsolated, recordFailure, recordRound, shouldProbe } from "./isolation.js";
+
+export interface Reachability {
+    /** Records an attempt that got no connection or no answer from an upstream. */
+    recordFailure(address: string): void;
+    isIsolated(): boolean;
+}
+
+export interface ReachabilityOptions {
+    /** Addresses of the upstreams of all services, `ip:port`. */
+    readonly addresses: () => readonly string[];
+    /** Whether a connection to the address can be established. */
+    readonly probe: (address: string) => Promise<boolean>;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly lifecycle: Lifecycle;
+    readonly logger: Logger;
+}
+
+const PROBES_PER_ROUND = 3;
+
+const TICK_MILLISECONDS = 50;
+
+/** Time to establish a connection, milliseconds: many round trips within a region. */
+const PROBE_MILLISECONDS = 400;
+
+/** Establishes a TCP connection and closes it. */
+export function probeConnection(address: string): Promise<boolean> {
+    const separator = address.lastIndexOf(":");
+    const socket = connect({
+        host: address.slice(0, separator),
+        port: Number(address.slice(separator + 1)),
+    });
+    return new Promise(resolve => {
+        const finish = (isEstablished: boolean): void => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(isEstablished);
+        };
+        const timer = setTimeout(() => finish(false), PROBE_MILLISECONDS);
+        socket.once("connect", () => finish(true));
+        socket.once("error", () => finish(false));
+    });
+}
+
+function sample(addresses: readonly string[], count: number, random: Random): readonly string[] {
+    const rest = [...addresses];
+    return Array.from(
+        { length: Math.min(count, rest.length) },
+        () => rest.splice(Math.floor(random() * rest.length), 1)[0]!,
+    );
+}
+
+export function createReachability(options: ReachabilityOptions): Reachability {
+    const { clock, logger } = options;
+    let state = INITIAL_ISOLATION;
+    let isProbing = false;
+
+    const probeRound = async (): Promise<void> => {
+        isProbing = true;
+        const addresses = sample(options.addresses(), PROBES_PER_ROUND, options.random);
+        const results = await Promise.all(addresses.map(options.probe));
+        const wasIsolated = isIsolated(state);
+        // Without upstreams there is nothing to be isolated from.
+        state = recordRound(state, addresses.length === 0 || results.includes(true), clock.now());
+        isProbing = false;
+        if (isIsolated(state) !== wasIsolated) {
+            if (wasIsolated) {
+                logger.info("The node reaches upstreams again.", { probed: addresses.join(" ") });
+            }
+            else {
+                logger.warn("The node reaches no upstream; other nodes take its requests.", {
+                    probed: addresses.join(" "),
+                });
+            }
+        }
+    };
+
+    options.lifecycle.add({
+        name: "reachability",
+        start: () => {
+            const timer = setInterval(() => {
+                if (!isProbing && shouldProbe(state, clock.now())) {
+                    void probeRound();
+                }
+            }, TICK_MILLISECONDS);
+            return () => clearInterval(timer);
+        },
+    });
+
+    return {
+        recordFailure: address => {
+            state = recordFailure(state, address, clock.now());
+        },
+        isIsolated: () => isIsolated(state),
+    };
+}
--- a/src/node/router/__tests__/router-settings.spec.ts
+++ b/src/node/router/__tests__/router-settings.spec.ts
@@ -74,7 +74,7 @@
     const template = new URL("../../../../../deploy/settings.ini", import.meta.url);
     const filled = readFileSync(template, "utf8")
         .replaceAll(/\{\{(listen-addresses|platform)\.[^}]+\}\}/g, "10.0.0.1:80")
-        .replaceAll("{{ip}}:{{internal-port-range.0}}", "10.0.0.1:80")
+        .replaceAll(/\{\{ip\}\}:\{\{internal-port-range\.\d\}\}/g, "10.0.0.1:80")
         .replaceAll(/\{\{ip\}\}/g, "10.0.0.1")
         .replaceAll(/\{\{[^}]+\}\}/g, "0.5");
     assert.equal(resolveRouterConfig("settings.ini", filled).shifts.exposureShare, 0.5);
--- a/src/node/router/node-list.ts
+++ b/src/node/router/node-list.ts
@@ -14,6 +14,9 @@
     readonly address: string;
     /** Capacity of the node's link, Mbit/s; `undefined` when the settings do not state it. */
     readonly linkMegabitsPerSecond?: number;
+    readonly region?: string;
+    /** `ip:port` at which the node takes requests of nodes without a path to the upstreams. */
+    readonly handoverAddress?: string;
 }
 
 export interface NodeList {
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -8,9 +8,14 @@
 import { createSystemRandom } from "../common/random.js";
 import { createForwardingServer } from "../forwarding/forwarding-server.js";
 import { createRequestForwarder } from "../forwarding/request-forwarder.js";
+import type { Handover, RequestForwarderOptions } from "../forwarding/request-forwarder.js";
+import type { RequestHead } from "../forwarding/protocol.js";
 import { createLatencyReference } from "../forwarding/latency-reference.js";
 import { sessionKeyOf } from "../forwarding/request-shape.js";
 import { createServiceRetryBudget } from "../forwarding/retry-budget.js";
+import { chooseHelper, createPeerStates } from "../handover/helpers.js";
+import { createReachability, probeConnection } from "../handover/reachability.js";
+import { createHelperCodec } from "../handover/router-response.js";
 import { createLifecycle } from "../lifecycle/lifecycle.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import { createLineWriter, writeToDescriptor } from "../logging/line-writer.js";
@@ -146,6 +151,8 @@
             peerAddress: `http://${config.peers.listen}`,
             address: splitEndpoint(config.loads.listen).address,
             linkMegabitsPerSecond: config.node.linkMegabitsPerSecond,
+            region: config.node.region,
+            handoverAddress: config.handover?.listen,
         },
         replica: replicas.nodes,
         store: adapter.store,
@@ -181,7 +188,7 @@
         decode: row => adapter.decodeOrder(row),
         onConfiguration: table => {
             const { idleTimeoutMilliseconds, headerTimeoutMilliseconds } = table.configuration.limits;
-            callers.applyLimits(idleTimeoutMilliseconds, headerTimeoutMilliseconds);
+            servers.forEach(server => server.applyLimits(idleTimeoutMilliseconds, headerTimeoutMilliseconds));
         },
         logger: createLogger("configuration"),
     });
@@ -256,6 +263,19 @@
         logger: quarantineLog,
     });
 
+    const peerStates = createPeerStates();
+    const reachability = createReachability({
+        addresses: () =>
+            upstreams
+                .all()
+                .filter(({ entry }) => !entry.leaving)
+                .map(({ entry }) => entry.address),
+        probe: probeConnection,
+        clock,
+        random,
+        lifecycle,
+        logger: createLogger("upstreams"),
+    });
     const loads = createLoadBoard();
     const limits = createUpstreamLimits({
         node: config.node.id,
@@ -275,6 +295,8 @@
                 .all()
                 .filter(upstream => upstream.health.isEjected(clock.now()))
                 .map(upstream => upstream.entry.id),
+        isIsolated: () => reachability.isIsolated(),
+        peerStates,
         peers: () =>
             nodes
                 .entries()
@@ -288,7 +310,7 @@
         logger: createLogger("loads"),
     });
 
-    const serve = createRequestForwarder({
+    const forwarderOptions: RequestForwarderOptions = {
         loads,
         clock,
         random,
@@ -341,19 +363,34 @@
             metrics.count("attempts_broken_off_total", { service, begun: String(hasBegun) }),
         recordEvidence: (upstream, stratum, succeeded, latency) =>
             shifts.record(upstream.entry.service, upstream.entry.version, stratum, succeeded, latency),
-    });
+        recordUnanswered: ({ entry }) => reachability.recordFailure(entry.address),
+    };
+    let handovers = 0;
+    let helpedRequests = 0;
+    const handover: Handover = {
+        isNeeded: () => reachability.isIsolated(),
+        chooseHelper: excluded =>
+            chooseHelper(nodes.self, nodes.entries(), peerStates, excluded, random, clock.now()),
+        onHandover: () => {
+            handovers += 1;
+        },
+    };
 
+    const splitPositionOf = (head: RequestHead): number => hashToUnit(`split\u0000${sessionKeyOf(head)}`);
     const callersEndpoint = splitEndpoint(config.callers.listen);
     const callers = createForwardingServer({
+        name: "caller listener",
         ...callersEndpoint,
         initialHeaderBytes: config.callers.maximumHeaderBytes,
         codec: adapter.codec,
         clock,
         routes: () => operators.routes(),
-        serve,
+        serve: createRequestForwarder(
+            config.handover === undefined ? forwarderOptions : { ...forwarderOptions, handover },
+        ),
         requestLog,
         lifecycle,
-        splitPositionOf: head => hashToUnit(`split\u0000${sessionKeyOf(head)}`),
+        splitPositionOf,
         onEnd: (end, route, milliseconds) => {
             const labels = { route: route ?? "", outcome: end.outcome };
             metrics.count("requests_total", { ...labels, status: String(end.status) });
@@ -364,11 +401,36 @@
         },
     });
 
+    const helperCodec = createHelperCodec(adapter.codec);
+    const handedOver =
+        config.handover === undefined
+            ? undefined
+            : createForwardingServer({
+                  name: "handover listener",
+                  ...splitEndpoint(config.handover.listen),
+                  initialHeaderBytes: config.callers.maximumHeaderBytes,
+                  codec: helperCodec,
+                  clock,
+                  routes: () => operators.routes(),
+                  serve: createRequestForwarder({ ...forwarderOptions, codec: helperCodec }),
+                  requestLog,
+                  lifecycle,
+                  splitPositionOf,
+                  onEnd: () => {
+                      helpedRequests += 1;
+                  },
+              });
+    const servers = handedOver === undefined ? [callers] : [callers, handedOver];
+    const countOpenRequests = (): number => servers.reduce((sum, server) => sum + server.openRequests(), 0);
+
     const isReady = (): boolean =>
         !stopping && operators.routes() !== undefined && replicas.runners.revision > 0;
     serveReadiness(config.readiness.listen, isReady, lifecycle);
     serveMetrics(metrics, config.metrics.address, config.metrics.port, lifecycle);
-    metrics.gauge("open_requests", () => callers.openRequests());
+    metrics.gauge("open_requests", countOpenRequests);
+    metrics.gauge("handovers_total", () => handovers);
+    metrics.gauge("helped_requests_total", () => helpedRequests);
+    metrics.gauge("isolated", () => (reachability.isIsolated() ? 1 : 0));
     metrics.gauge("configuration_version", () => operators.routes()?.configuration.version);
     metrics.gauge("upstreams", () => upstreams.all().length);
     metrics.gauge("nodes", () => nodes.entries().length);
@@ -388,10 +450,10 @@
         await delay(announceMilliseconds);
         // The load balancer may still send requests when no other node accepts any, so the listener stays
         // open.
-        while (callers.openRequests() > 0 && elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS) {
+        while (countOpenRequests() > 0 && elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS) {
             await delay(DRAIN_POLL_MILLISECONDS);
         }
-        callers.stopListening();
+        servers.forEach(server => server.stopListening());
     };
 
     return {
@@ -402,10 +464,11 @@
         stop: async () => {
             const startedAt = clock.now();
             stopping = true;
-            callers.startDraining(startedAt + config.stop.graceMilliseconds - EXIT_MARGIN_MILLISECONDS);
-            log.info("The node is stopping.", { openRequests: callers.openRequests() });
+            const exitsAt = startedAt + config.stop.graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
+            servers.forEach(server => server.startDraining(exitsAt));
+            log.info("The node is stopping.", { openRequests: countOpenRequests() });
             await drain(startedAt);
-            const openRequests = callers.openRequests();
+            const openRequests = countOpenRequests();
             await Promise.race([lifecycle.stop(), delay(EXIT_MARGIN_MILLISECONDS / 2)]);
             log.info("The node has stopped.", {
                 openRequests,
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -25,6 +25,8 @@
     node: z.strictObject({
         id: z.string().check(z.minLength(1)),
         dataCentre: z.string().check(z.minLength(1)),
+        /** Nodes take requests of nodes in their region only. */
+        region: z.optional(z.string()),
         /** Capacity of the VM's link, Mbit/s. Nodes with the fastest links relay changes to the others. */
         linkMegabitsPerSecond: z.optional(positive),
     }),
@@ -43,6 +45,13 @@
         /** Endpoint for UDP load reports; the port is the same on all nodes. */
         listen: endpoint,
     }),
+    /** Without this section, the node neither takes requests of other nodes nor hands any over. */
+    handover: z.optional(
+        z.strictObject({
+            /** Endpoint for requests of nodes without a path to the upstreams. Callers must not reach it. */
+            listen: endpoint,
+        }),
+    ),
     metrics: z.strictObject({
         address,
         port,
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -2,6 +2,7 @@
 import { createSocket } from "node:dgram";
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
+import type { PeerStates } from "../handover/helpers.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
 import type { Quarantine, QuarantineReport } from "../quarantine/quarantine.js";
@@ -44,6 +45,8 @@
 interface WireNews {
     readonly quarantine?: QuarantineReport;
     readonly limits?: readonly WireLimit[];
+    /** The node has no path to the upstreams. */
+    readonly isolated?: boolean;
 }
 
 export interface LoadReports {
@@ -62,6 +65,9 @@
     readonly quarantine: Pick<Quarantine, "report" | "merge">;
     /** Limits that upstreams name, which the reports carry. */
     readonly limits: Pick<UpstreamLimits, "report" | "merge">;
+    /** Whether this node has no path to the upstreams. */
+    readonly isIsolated: () => boolean;
+    readonly peerStates: Pick<PeerStates, "record">;
     /** IP addresses of the nodes that get reports; all listen on the same port. */
     readonly peers: () => readonly string[];
     readonly clock: Clock;
@@ -122,6 +128,7 @@
             );
             const now = options.clock.now();
             board.report(node, loads, ejected, now);
+            options.peerStates.record(node, news?.isolated === true, now);
             if (news?.quarantine !== undefined) {
                 options.quarantine.merge(news.quarantine, now);
             }
@@ -146,7 +153,9 @@
         const now = options.clock.now();
         const quarantine = options.quarantine.report(now);
         const limits = options.limits.report(now);
-        const news = quarantine === undefined && limits === undefined ? undefined : { quarantine, limits };
+        const isolated = options.isIsolated() ? true : undefined;
+        const hasNews = quarantine !== undefined || limits !== undefined || isolated !== undefined;
+        const news = hasNews ? { quarantine, limits, isolated } : undefined;
         const hasContent = board.ownLoads().size > 0 || ejected.length > 0;
         unchangedIntervals = board.revision === sentRevision ? unchangedIntervals + 1 : 0;
         const isRepeat =
--- a/src/node/upstream-table/upstream-health.ts
+++ b/src/node/upstream-table/upstream-health.ts
@@ -14,6 +14,8 @@
     recordFailure(now: number): void;
     /** Records a request that the upstream rejected without running it. */
     recordRejection(now: number): void;
+    /** Records that no connection to the upstream was established. */
+    recordUnreached(now: number): void;
 }
 
 /** Weight of the newest request in the moving averages. */
@@ -34,6 +36,9 @@
 /** Time for which an upstream is avoided after it rejects a request, milliseconds. */
 const REJECTION_AVOIDANCE_MILLISECONDS = 250;
 
+/** Time for which an upstream is avoided after a connection to it was not established, milliseconds. */
+const UNREACHED_AVOIDANCE_MILLISECONDS = 1000;
+
 export function createUpstreamHealth(): UpstreamHealth {
     let failureShare = 0;
     let slowness = 1;
@@ -68,7 +73,10 @@
             }
         },
         recordRejection: now => {
-            rejectedUntil = now + REJECTION_AVOIDANCE_MILLISECONDS;
+            rejectedUntil = Math.max(rejectedUntil, now + REJECTION_AVOIDANCE_MILLISECONDS);
+        },
+        recordUnreached: now => {
+            rejectedUntil = now + UNREACHED_AVOIDANCE_MILLISECONDS;
         },
     };
 }
