Send nothing more to an upstream that says in an answer that it leaves

An upstream that leaves may say so in its answers (Server-Leaving) before its registration does, or without it. The node kept sending to it, and its callers' requests were cut when it ended. Such a process now counts as leaving at once and until it ends; one that starts again under the same id does not. Its end is planned, so it blames no request.

--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -54,6 +54,8 @@
     /** Requests per second that the upstream takes from all nodes together; `undefined` when it names none. */
     readonly limitPerSecond: number | undefined;
     readonly retryAfterSeconds: number | undefined;
+    /** The upstream leaves and wants no further requests. */
+    readonly isLeaving: boolean;
     /** The body is a stream of events. */
     readonly isEventStream: boolean;
     /** The body has a content encoding, so it is not as the upstream wrote it. */
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -87,6 +87,8 @@
         Quarantine,
         "reject" | "isSuspect" | "watch" | "recordBreak" | "recordResponse" | "recordAnswer"
     >;
+    /** Records that an upstream stated in a response that it leaves. */
+    readonly recordLeaving: (upstream: RegisteredUpstream) => void;
     /** Records an attempt that got no connection or no whole answer from an upstream. */
     readonly recordUnanswered: (upstream: RegisteredUpstream) => void;
     /** Absent for requests that another node handed over: they are not handed over again. */
@@ -340,6 +342,9 @@
                     if (status !== HTTP_MISDIRECTED) {
                         options.quarantine.recordResponse(process, sentAt, clock.now());
                     }
+                    if (responseHead.isLeaving) {
+                        options.recordLeaving(upstream);
+                    }
                     load.promptRead();
                     headConfidence = responseHead.confidence;
                     limitPerSecond = responseHead.limitPerSecond;
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -268,7 +268,7 @@
         addresses: () =>
             upstreams
                 .all()
-                .filter(({ entry }) => !entry.leaving)
+                .filter(upstream => !upstreams.isLeaving(upstream))
                 .map(({ entry }) => entry.address),
         probe: probeConnection,
         clock,
@@ -344,10 +344,10 @@
         quarantine,
         limits,
         isLeaving: ({ entry }) => {
-            const current = upstreams.get(entry.id)?.entry;
+            const current = upstreams.get(entry.id);
             return (
                 current === undefined ||
-                current.leaving ||
+                upstreams.isLeaving(current) ||
                 !shifts.rule(entry.service).isAllowed(entry.version)
             );
         },
@@ -363,6 +363,7 @@
             metrics.count("attempts_broken_off_total", { service, begun: String(hasBegun) }),
         recordEvidence: (upstream, stratum, succeeded, latency) =>
             shifts.record(upstream.entry.service, upstream.entry.version, stratum, succeeded, latency),
+        recordLeaving: upstream => upstreams.recordLeaving(upstream),
         recordUnanswered: ({ entry }) => reachability.recordFailure(entry.address),
     };
     let handovers = 0;
--- a/src/node/upstream-table/upstream-table.ts
+++ b/src/node/upstream-table/upstream-table.ts
@@ -1,4 +1,5 @@
 /** Registered upstreams, with the health and the recent sends that this node records for each. */
+import { createBoundedMap } from "../common/bounded-map.js";
 import type { Logger } from "../logging/logging.js";
 import type { RowChange } from "../replica/row-replica.js";
 import { createUpstreamHealth } from "./upstream-health.js";
@@ -49,6 +50,10 @@
     usable(service: string): readonly RegisteredUpstream[];
     get(id: string): RegisteredUpstream | undefined;
     all(): readonly RegisteredUpstream[];
+    /** Records that a process stated that it leaves, which its registration may not say yet or never. */
+    recordLeaving(upstream: RegisteredUpstream): void;
+    /** Whether the end of the upstream is announced. */
+    isLeaving(upstream: RegisteredUpstream): boolean;
     /** Applies changes of registrations. */
     apply(changes: readonly RowChange[], now: number): void;
     /** Removes upstreams whose registration disappeared and was not renewed within the grace period. */
@@ -76,11 +81,19 @@
     recentSends.push(now);
 }
 
+/** Processes that stated that they leave, including those that have ended since. */
+const MAXIMUM_LEAVING_PROCESSES = 8192;
+
 export function createUpstreamTable(options: UpstreamTableOptions): UpstreamTable {
     const upstreams = new Map<string, RegisteredUpstream>();
     /** End of the grace period by upstream id, for upstreams whose registration is missing. */
     const missingUntil = new Map<string, number>();
 
+    const leavingProcesses = createBoundedMap<true>(MAXIMUM_LEAVING_PROCESSES);
+
+    const isLeaving = ({ entry, process }: RegisteredUpstream): boolean =>
+        entry.leaving || leavingProcesses.get(process) === true;
+
     const remove = (id: string, reason: string): void => {
         if (upstreams.delete(id)) {
             options.logger.info("Dropped an upstream.", { upstream: id, reason });
@@ -141,7 +154,16 @@
 
     return {
         usable: service =>
-            [...upstreams.values()].filter(({ entry }) => entry.service === service && !entry.leaving),
+            [...upstreams.values()].filter(
+                upstream => upstream.entry.service === service && !isLeaving(upstream),
+            ),
+        recordLeaving: ({ entry, process }) => {
+            if (leavingProcesses.get(process) === undefined) {
+                options.logger.info("An upstream said that it leaves.", { upstream: entry.id });
+                leavingProcesses.set(process, true);
+            }
+        },
+        isLeaving,
         get: id => upstreams.get(id),
         all: () => [...upstreams.values()],
         apply: (changes, now) => changes.forEach(change => applyChange(change, now)),
