Pause for an upstream that rejects with Retry-After

An upstream that rejects a request with 503 may say for how long it wants nothing from this node. The node passed the time on to its caller and sent to the upstream again after 250 ms. It now sends it nothing for that time; the pause is this node's alone. While all upstreams of a service are paused, requests are rejected without an attempt.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -143,6 +143,8 @@
 /** Status of an upstream that is not the one that the request names. */
 const HTTP_MISDIRECTED = 421;
 
+const HTTP_UNAVAILABLE = 503;
+
 /** Minimum number of events from which the time between events is computed. */
 const MINIMUM_PACED_EVENTS = 4;
 
@@ -424,7 +426,11 @@
                     }
                     else {
                         rejections += 1;
-                        upstream.health.recordRejection(now);
+                        const isUnavailable = result.status === HTTP_UNAVAILABLE;
+                        upstream.health.recordRejection(
+                            now,
+                            isUnavailable ? result.retryAfterSeconds : undefined,
+                        );
                     }
                     return;
                 case "failed":
--- a/src/node/upstream-table/upstream-choice.ts
+++ b/src/node/upstream-table/upstream-choice.ts
@@ -131,6 +131,7 @@
     const allowed = upstreams.filter(
         upstream =>
             !context.excluded.has(upstream.entry.id) &&
+            !upstream.health.isPaused(context.now) &&
             context.hasRoom(upstream) &&
             (upstream.coldUntil <= context.now ||
                 hasColdAllowance(upstream, context.now, context.coldAllowance(upstream))),
--- a/src/node/upstream-table/upstream-health.ts
+++ b/src/node/upstream-table/upstream-health.ts
@@ -12,8 +12,14 @@
     recordSuccess(slowness: number): void;
     /** Records a request that failed or timed out. */
     recordFailure(now: number): void;
-    /** Records a request that the upstream rejected without running it. */
-    recordRejection(now: number): void;
+    /** Whether the upstream has asked this node for a pause. No request may be sent to it then. */
+    isPaused(now: number): boolean;
+    /**
+     * Records a request that the upstream rejected without running it.
+     *
+     * @param pauseSeconds Time for which the upstream wants nothing from this node.
+     */
+    recordRejection(now: number, pauseSeconds?: number): void;
     /** Records that no connection to the upstream was established. */
     recordUnreached(now: number): void;
 }
@@ -45,6 +51,7 @@
     let consecutiveFailures = 0;
     let ejectedUntil = 0;
     let rejectedUntil = 0;
+    let pausedUntil = 0;
 
     return {
         failureShare: () => failureShare,
@@ -72,7 +79,9 @@
                 );
             }
         },
-        recordRejection: now => {
+        isPaused: now => now < pausedUntil,
+        recordRejection: (now, pauseSeconds = 0) => {
+            pausedUntil = Math.max(pausedUntil, now + pauseSeconds * 1000);
             rejectedUntil = Math.max(rejectedUntil, now + REJECTION_AVOIDANCE_MILLISECONDS);
         },
         recordUnreached: now => {
