Pause for upstreams that crash under too many rejections

Upstreams in need say in all answers how many rejections a second they bear (Server-Brittle); the nodes went on sending to them after 250 ms each, so that a full one crashed. After such a rejection a node now pauses for as long as keeps all nodes together to half of that number, and at least 1 s.

The test with a router process fails without the pause: 4 rejections in a second where 2 are borne.

--- a/src/node/forwarding/__tests__/raw-upstream.ts
+++ b/src/node/forwarding/__tests__/raw-upstream.ts
@@ -52,6 +52,7 @@
         confidence: undefined,
         limitPerSecond: undefined,
         retryAfterSeconds: undefined,
+        maximumRejectionsPerSecond: undefined,
         isLeaving: false,
         isEventStream: headers["content-type"] === "text/event-stream",
         isEncoded: false,
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -35,6 +35,8 @@
           readonly isUnreached?: boolean;
           /** Status of a rejection. */
           readonly status?: number;
+          /** Rejections per second, of all nodes, above which the upstream crashes. */
+          readonly maximumRejectionsPerSecond?: number;
       }
     /** Low confidence: a larger model should replace the answer, of which nothing was sent to the caller. */
     | { readonly kind: "doubted"; readonly confidence: number }
@@ -240,6 +242,7 @@
                     reason: `upstream answered ${status}`,
                     retryAfterSeconds: head.retryAfterSeconds,
                     status,
+                    maximumRejectionsPerSecond: head.maximumRejectionsPerSecond,
                 });
                 return;
             }
--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -54,6 +54,11 @@
     /** Requests per second that the upstream takes from all nodes together; `undefined` when it names none. */
     readonly limitPerSecond: number | undefined;
     readonly retryAfterSeconds: number | undefined;
+    /**
+     * Rejections per second, summed over all nodes, above which the upstream crashes; `undefined` when it names
+     * none.
+     */
+    readonly maximumRejectionsPerSecond: number | undefined;
     /** The upstream leaves and wants no further requests. */
     readonly isLeaving: boolean;
     /** The body is a stream of events. */
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -38,6 +38,7 @@
     sessionKeyOf,
     sharedTokens,
 } from "./request-shape.js";
+import { pauseAfterRejection } from "./rejection-pause.js";
 import type { ServiceRetryBudget } from "./retry-budget.js";
 
 /** A request that was read to its end and matched to a route. */
@@ -87,6 +88,8 @@
         Quarantine,
         "reject" | "isSuspect" | "watch" | "recordBreak" | "recordResponse" | "recordAnswer"
     >;
+    /** Number of nodes that send to the same upstreams, with this one. */
+    readonly nodeCount: () => number;
     /** Records that an upstream stated in a response that it leaves. */
     readonly recordLeaving: (upstream: RegisteredUpstream) => void;
     /** Records an attempt that got no connection or no whole answer from an upstream. */
@@ -143,8 +146,6 @@
 /** Status of an upstream that is not the one that the request names. */
 const HTTP_MISDIRECTED = 421;
 
-const HTTP_UNAVAILABLE = 503;
-
 /** Minimum number of events from which the time between events is computed. */
 const MINIMUM_PACED_EVENTS = 4;
 
@@ -426,11 +427,15 @@
                     }
                     else {
                         rejections += 1;
-                        const isUnavailable = result.status === HTTP_UNAVAILABLE;
-                        upstream.health.recordRejection(
-                            now,
-                            isUnavailable ? result.retryAfterSeconds : undefined,
+                        const pauseSeconds = pauseAfterRejection(
+                            {
+                                status: result.status ?? 0,
+                                retryAfterSeconds: result.retryAfterSeconds,
+                                maximumRejectionsPerSecond: result.maximumRejectionsPerSecond,
+                            },
+                            options.nodeCount(),
                         );
+                        upstream.health.recordRejection(now, pauseSeconds);
                     }
                     return;
                 case "failed":
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -363,6 +363,7 @@
             metrics.count("attempts_broken_off_total", { service, begun: String(hasBegun) }),
         recordEvidence: (upstream, stratum, succeeded, latency) =>
             shifts.record(upstream.entry.service, upstream.entry.version, stratum, succeeded, latency),
+        nodeCount: () => nodes.count(),
         recordLeaving: upstream => upstreams.recordLeaving(upstream),
         recordUnanswered: ({ entry }) => reachability.recordFailure(entry.address),
     };
