--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -9,6 +9,9 @@
 
 const ROOT = new URL("../../", import.meta.url).pathname;
 
+/** Port of the settings template. */
+const METRICS_PORT = 9102;
+
 const READY_MILLISECONDS = 15_000;
 
 /** Bounds of the small sites. */
@@ -78,9 +81,9 @@
     const choosePorts = async addresses => {
         for (let attempt = 0; attempt < 100; attempt += 1) {
             base = 13_000 + Math.floor(Math.random() * 1500) * 10;
-            const ports = [base, base + 1, base + 2, base + 3, base + 4];
-            const free = await Promise.all([...addresses].map(address => areFree(address, ports)));
-            if (free.every(Boolean) && (await areFree(addresses[0], [9102]))) {
+            const ports = [base, base + 1, base + 2, base + 3, base + 4, METRICS_PORT];
+            const free = await Promise.all(addresses.map(address => areFree(address, ports)));
+            if (free.every(Boolean)) {
                 return;
             }
         }
@@ -112,7 +115,8 @@
         nodes,
         /** Starts nodes, each at a loopback address of its own. */
         startNodes: async (count, { zones, onOutput, bounds = BOUNDS }) => {
-            const addresses = Array.from({ length: count }, (_, index) => `127.0.1.${index + 1}`);
+            const network = `127.${1 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
+            const addresses = Array.from({ length: count }, (_, index) => `${network}.${index + 1}`);
             await choosePorts(addresses);
             for (const [index, ip] of addresses.entries()) {
                 const zone = zones[index % zones.length];
