Add review case of a roll-out that is rolled back after its completion

Case 1: the node that sees most bad answers is cut off from the store, the others complete the roll-out, and the node overwrites the state when it is back; no runner is left. The other cases moved by one number.

--- a/review/1/run.js
+++ b/review/1/run.js
@@ -1,5 +1,7 @@
-/** Entries of another writer, and two runners that crash, while requesters use kept channels. */
-import { Agent } from "node:http";
+/**
+ * A roll-out of a version that turns bad, while the node that sees most of the bad answers is cut off from the
+ * store. The others complete the roll-out; the node that was cut off then reports it as rolled back.
+ */
 import { setTimeout } from "node:timers";
 import { setTimeout as delay } from "node:timers/promises";
 import { runCase } from "../lib/case.js";
@@ -7,127 +9,172 @@
 import { send } from "../lib/requester.js";
 import { createRunner } from "../lib/runner.js";
 
-const NODES = 4;
+const NODES = 6;
 const ZONES = ["zone-a", "zone-b"];
-const RUNNERS = 12;
-/** Entries of another writer, for a service that no configuration names. */
-const FOREIGN_ENTRIES = 8;
-/** Runners that crash: 0.17 of the service's runners, for 4.5 s, as in the site file. */
-const CRASHED = 2;
-const CRASH_MILLISECONDS = 4500;
-const WORK_MILLISECONDS = 200;
-const CHANNELS_PER_NODE = 8;
-/** Time before a process that ended is started again. */
-const RESTART_MILLISECONDS = 500;
-/** A machine may close so many kept channels without an answer. */
-const ALLOWED_LOSSES = 3;
+/** Runners of each version. */
+const RUNNERS = 3;
+const WORK_MILLISECONDS = 40;
+const REQUESTS_PER_SECOND = 30;
+/** Share of the requests that reach the first node: requesters are spread unevenly. */
+const FIRST_NODE_SHARE = 0.7;
+
+/** All times below are in milliseconds from the order of the roll-out. */
+const ROLLOUT_SECONDS = 12;
+const CUT_FROM = 7000;
+const CUT_TO = 12_000;
+const BAD_FROM = 8000;
+const BAD_SHARE = 0.5;
+/** After a roll-back the new runners drain so much later, and serve for so long while they drain. */
+const DRAIN_AFTER = 2000;
+const DRAIN = 2000;
+const FINAL_FAULT_AT = 18_000;
+
+const DOWN_MILLISECONDS = 1500;
+const RECOVERY_MILLISECONDS = 12_000;
+const MEASURED_MILLISECONDS = 8000;
+/** Share of requests that has to be served after the recovery if it was served before the final fault. */
+const REQUIRED_SHARE = 0.25;
+
+const SERVICE = "stock-app";
 
 await runCase(new URL(".", import.meta.url), async ({ trouble, record, store, deployment, runners }) => {
-    store.put("op", "config", createConfiguration());
-    for (let index = 0; index < RUNNERS; index += 1) {
+    let badFrom = Infinity;
+    const createVersion = async (version, index) => {
         const runner = await createRunner({
-            id: `i-${index}`,
-            service: "stock-app",
+            id: `i-${version}-${index}`,
+            version,
+            service: SERVICE,
             zone: ZONES[index % ZONES.length],
             slots: 6,
             queue: 24,
             workMilliseconds: () => WORK_MILLISECONDS,
-            answer: (_entry, response, headers) => {
-                response.writeHead(200, { ...headers, "content-length": 2 });
+            answer: (entry, response, headers) => {
+                const isBad = version === "v2" && Date.now() >= badFrom && Math.random() < BAD_SHARE;
+                const status = isBad ? 500 : 200;
+                entry.answered = status;
+                response.writeHead(status, { ...headers, "content-length": 2 });
                 response.end("ok");
             },
         });
         runners.push(runner);
         store.put("servers", runner.id, runner.entry());
+        return runner;
+    };
+    store.put("op", "config", createConfiguration());
+    const oldRunners = [];
+    const newRunners = [];
+    for (let index = 0; index < RUNNERS; index += 1) {
+        oldRunners.push(await createVersion("v1", index));
     }
-    if (trouble) {
-        for (let index = 0; index < FOREIGN_ENTRIES; index += 1) {
-            store.put("servers", `other-${index}`, {
-                service: "not-ours",
-                address: `127.0.0.1:${70_000 + index}`,
-                zone: ZONES[0],
-                version: "v1",
-                slots: 1,
-                state: "ready",
-                "cold-remaining-ms": 0,
-                born: Date.now(),
-                sequence: 1,
-            });
-        }
-    }
-    await deployment.startNodes(NODES, {
-        zones: ZONES,
-        onOutput: (name, text) => {
-            const error = /^\w*Error.*$/m.exec(text);
-            if (error !== null && !text.startsWith("{")) {
-                record.now(`${name} writes: ${error[0]}`);
-            }
-        },
-    });
 
-    const ends = new Map();
-    let isOver = false;
-    const watch = node => {
-        node.exited.then(({ code, signal }) => {
-            if (isOver) {
-                return;
-            }
-            ends.set(node.name, (ends.get(node.name) ?? 0) + 1);
-            record.now(`${node.name} ended by itself: code ${code}, signal ${signal}`);
-            setTimeout(() => deployment.restart(node).then(() => watch(node)), RESTART_MILLISECONDS);
-        });
+    const stopRunners = async group => {
+        for (const runner of group) {
+            await runner.stop();
+            store.put("servers", runner.id, undefined);
+        }
+    };
+    const drainRunners = async group => {
+        await delay(DRAIN_AFTER);
+        group.forEach(runner => store.put("servers", runner.id, runner.entry({ state: "draining", sequence: 2 })));
+        record.now("the new runners drain");
+        await delay(DRAIN);
+        await stopRunners(group);
     };
-    deployment.nodes.forEach(watch);
+    let lastState;
+    store.onWrite(({ table, key }) => {
+        if (table !== "status" || key !== `rollout/${SERVICE}`) {
+            return;
+        }
+        const { state } = store.read("status", `rollout/${SERVICE}`);
+        if (state === lastState) {
+            return;
+        }
+        lastState = state;
+        record.now(`status/rollout/${SERVICE}: ${state}`);
+        if (state === "completed") {
+            record.now("the old runners stop");
+            stopRunners(oldRunners).catch(error => record.now(error.message));
+        }
+        if (state === "rolled_back") {
+            drainRunners(newRunners).catch(error => record.now(error.message));
+        }
+    });
 
+    await deployment.startNodes(NODES, { zones: ZONES });
+    await delay(3500);
     const results = [];
-    const use = async node => {
-        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-        let isKept = false;
+    let isOver = false;
+    const generate = async () => {
+        let next = Date.now();
         while (!isOver) {
-            const result = await send(node.callers, { path: "/reserve/1", method: "POST", body: "x", agent });
-            results.push({ ...result, name: node.name, isKept });
-            isKept = result.complete;
-            await delay(result.complete ? 20 : 200);
+            next -= (Math.log(Math.random()) * 1000) / REQUESTS_PER_SECOND;
+            if (next > Date.now()) {
+                await delay(next - Date.now());
+            }
+            const other = 1 + Math.floor(Math.random() * (NODES - 1));
+            const node = deployment.nodes[Math.random() < FIRST_NODE_SHARE ? 0 : other];
+            const isLookup = Math.random() < 0.3;
+            const options = isLookup ? { path: "/lookup/1" } : { path: "/reserve/1", method: "POST", body: "x" };
+            send(node.callers, options).then(result => results.push({ ...result, name: node.name }));
         }
-        agent.destroy();
     };
-    const uses = deployment.nodes.flatMap(node => Array.from({ length: CHANNELS_PER_NODE }, () => use(node)));
-    await delay(4000);
-    const crashed = runners.slice(0, CRASHED);
-    if (trouble) {
-        record.now(`runners ${crashed.map(({ id }) => id).join(", ")} crash`);
-        await Promise.all(crashed.map(runner => runner.stop()));
+    const traffic = generate();
+    await delay(3000);
+
+    for (let index = 0; index < RUNNERS; index += 1) {
+        newRunners.push(await createVersion("v2", index));
     }
-    await delay(CRASH_MILLISECONDS);
+    const orderedAt = Date.now();
+    const at = (milliseconds, action) => setTimeout(action, orderedAt + milliseconds - Date.now());
+    record.now(`the operator orders a roll-out to v2 within ${ROLLOUT_SECONDS} s`);
+    store.put("op", `rollout/${SERVICE}`, { service: SERVICE, to: "v2", "duration-s": ROLLOUT_SECONDS });
+    const [first] = deployment.nodes;
     if (trouble) {
-        for (const runner of crashed) {
-            runner.born = Date.now();
-            await runner.start();
-            store.put("servers", runner.id, runner.entry({ sequence: 2 }));
-        }
-        record.now("the runners are back");
+        badFrom = orderedAt + BAD_FROM;
+        at(BAD_FROM, () => record.now(`v2 fails ${BAD_SHARE} of its requests from now on`));
+        at(CUT_FROM, () => {
+            record.now(`${first.name} is cut off from the store`);
+            first.store.setMode("silent");
+        });
+        at(CUT_TO, () => {
+            record.now(`${first.name} reaches the store again`);
+            first.store.setMode("up");
+        });
     }
-    await delay(2500);
+    await delay(FINAL_FAULT_AT);
+
+    const faultAt = Date.now();
+    record.now("final fault: all processes are killed");
+    deployment.nodes.forEach(({ child }) => child.kill("SIGKILL"));
+    await delay(DOWN_MILLISECONDS);
+    await Promise.all(deployment.nodes.map(node => deployment.restart(node)));
+    const backAt = Date.now();
+    record.now("the machines are back");
+    await delay(RECOVERY_MILLISECONDS + MEASURED_MILLISECONDS);
     isOver = true;
-    await Promise.all(uses);
+    await traffic;
+    await delay(4500);
 
-    const sound = new Set(runners.slice(CRASHED).flatMap(({ received }) => received.map(({ id }) => id)));
-    const losses = new Map();
-    for (const { id, name, sentAt, endedAt, status, complete, error, isKept } of results) {
-        const reached = sound.has(id) ? "reached a sound runner" : "reached no sound runner";
-        record.note(sentAt, `${id} sent to ${name} on a ${isKept ? "kept" : "new"} channel, ${reached}`);
+    for (const { id, name, sentAt, endedAt, status, complete, error } of results) {
+        record.note(sentAt, `${id} sent to ${name}`);
         record.note(endedAt, `${id} ends: ${complete ? status : `no whole answer (${error})`}`);
-        if (!complete && isKept && sound.has(id)) {
-            losses.set(name, (losses.get(name) ?? 0) + 1);
-        }
     }
-    const runs = runners.flatMap(({ id: runner, received }) => received.map(entry => ({ ...entry, runner })));
-    runs.filter(({ ranAt }) => ranAt).forEach(({ ranAt, id, runner }) => record.note(ranAt, `${id} runs at ${runner}`));
-    return [...losses]
-        .filter(([, count]) => count > ALLOWED_LOSSES)
-        .map(
-            ([name, count]) =>
-                `LOST: ${name} passed ${count} requests from kept channels on to sound runners and closed the ` +
-                `channels without an answer; its process ended by itself ${ends.get(name) ?? 0} times`,
-        );
+    for (const { id: runner, received } of runners) {
+        received
+            .filter(({ ranAt }) => ranAt !== undefined)
+            .forEach(({ ranAt, id, answered }) => record.note(ranAt, `${id} runs at ${runner}: ${answered}`));
+    }
+    const servedShare = group => {
+        const served = group.filter(({ complete, status }) => complete && status === 200).length;
+        return group.length === 0 ? 0 : served / group.length;
+    };
+    const before = servedShare(results.filter(({ sentAt }) => sentAt < faultAt));
+    const after = servedShare(results.filter(({ sentAt }) => sentAt >= backAt + RECOVERY_MILLISECONDS));
+    record.now(`served: ${before.toFixed(3)} before the final fault, ${after.toFixed(3)} after the recovery`);
+    return before >= REQUIRED_SHARE && after < REQUIRED_SHARE
+        ? [
+              `RECOVER: ${after.toFixed(3)} of the requests are served later than ${RECOVERY_MILLISECONDS} ms after ` +
+                  `the machines are back, ${before.toFixed(3)} were before the final fault`,
+          ]
+        : [];
 });
--- a/review/2/run.js
+++ b/review/2/run.js
@@ -1,22 +1,26 @@
-/** A node that is being stopped gets SIGTERM once more, while it finishes its requests. */
+/** Entries of another writer, and two runners that crash, while requesters use kept channels. */
 import { Agent } from "node:http";
+import { setTimeout } from "node:timers";
 import { setTimeout as delay } from "node:timers/promises";
 import { runCase } from "../lib/case.js";
 import { createConfiguration } from "../lib/configuration.js";
 import { send } from "../lib/requester.js";
 import { createRunner } from "../lib/runner.js";
 
-const NODES = 3;
+const NODES = 4;
 const ZONES = ["zone-a", "zone-b"];
-const RUNNERS = 4;
-const WORK_MILLISECONDS = 1500;
-const REQUESTS = 12;
-/** Time of the first SIGTERM after the requests, and of the second one after the first. */
-const STOP_MILLISECONDS = 300;
-const SECOND_STOP_MILLISECONDS = 700;
-const ROUTE_TIMEOUT_MILLISECONDS = 4000;
-/** Last sixth of `grace-period-s`, in which the end of a request is excused. */
-const LAST_SIXTH_MILLISECONDS = (8000 * 5) / 6;
+const RUNNERS = 12;
+/** Entries of another writer, for a service that no configuration names. */
+const FOREIGN_ENTRIES = 8;
+/** Runners that crash: 0.17 of the service's runners, for 4.5 s, as in the site file. */
+const CRASHED = 2;
+const CRASH_MILLISECONDS = 4500;
+const WORK_MILLISECONDS = 200;
+const CHANNELS_PER_NODE = 8;
+/** Time before a process that ended is started again. */
+const RESTART_MILLISECONDS = 500;
+/** A machine may close so many kept channels without an answer. */
+const ALLOWED_LOSSES = 3;
 
 await runCase(new URL(".", import.meta.url), async ({ trouble, record, store, deployment, runners }) => {
     store.put("op", "config", createConfiguration());
@@ -36,48 +40,94 @@
         runners.push(runner);
         store.put("servers", runner.id, runner.entry());
     }
-    await deployment.startNodes(NODES, { zones: ZONES });
-    const [node] = deployment.nodes;
-    await delay(3500);
+    if (trouble) {
+        for (let index = 0; index < FOREIGN_ENTRIES; index += 1) {
+            store.put("servers", `other-${index}`, {
+                service: "not-ours",
+                address: `127.0.0.1:${70_000 + index}`,
+                zone: ZONES[0],
+                version: "v1",
+                slots: 1,
+                state: "ready",
+                "cold-remaining-ms": 0,
+                born: Date.now(),
+                sequence: 1,
+            });
+        }
+    }
+    await deployment.startNodes(NODES, {
+        zones: ZONES,
+        onOutput: (name, text) => {
+            const error = /^\w*Error.*$/m.exec(text);
+            if (error !== null && !text.startsWith("{")) {
+                record.now(`${name} writes: ${error[0]}`);
+            }
+        },
+    });
 
-    // Requests on kept channels: each one has carried a request before.
-    const agents = Array.from({ length: REQUESTS }, () => new Agent({ keepAlive: true, maxSockets: 1 }));
-    await Promise.all(
-        agents.map(agent => send(node.callers, { path: "/reserve/first", method: "POST", body: "x", agent })),
-    );
-    const sent = agents.map(agent =>
-        send(node.callers, { path: "/reserve/second", method: "POST", body: "x", agent }),
-    );
-    await delay(STOP_MILLISECONDS);
-    const stoppedAt = Date.now();
-    record.now(`${node.name} gets SIGTERM`);
-    node.child.kill("SIGTERM");
-    node.exited.then(({ code, signal }) =>
-        record.now(
-            `${node.name} ended ${Date.now() - stoppedAt} ms after its SIGTERM: code ${code}, signal ${signal}`,
-        ),
-    );
-    await delay(SECOND_STOP_MILLISECONDS);
+    const ends = new Map();
+    let isOver = false;
+    const watch = node => {
+        node.exited.then(({ code, signal }) => {
+            if (isOver) {
+                return;
+            }
+            ends.set(node.name, (ends.get(node.name) ?? 0) + 1);
+            record.now(`${node.name} ended by itself: code ${code}, signal ${signal}`);
+            setTimeout(() => deployment.restart(node).then(() => watch(node)), RESTART_MILLISECONDS);
+        });
+    };
+    deployment.nodes.forEach(watch);
+
+    const results = [];
+    const use = async node => {
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        let isKept = false;
+        while (!isOver) {
+            const result = await send(node.callers, { path: "/reserve/1", method: "POST", body: "x", agent });
+            results.push({ ...result, name: node.name, isKept });
+            isKept = result.complete;
+            await delay(result.complete ? 20 : 200);
+        }
+        agent.destroy();
+    };
+    const uses = deployment.nodes.flatMap(node => Array.from({ length: CHANNELS_PER_NODE }, () => use(node)));
+    await delay(4000);
+    const crashed = runners.slice(0, CRASHED);
     if (trouble) {
-        record.now(`${node.name} gets SIGTERM once more`);
-        node.child.kill("SIGTERM");
+        record.now(`runners ${crashed.map(({ id }) => id).join(", ")} crash`);
+        await Promise.all(crashed.map(runner => runner.stop()));
     }
-    const results = await Promise.all(sent);
-    await delay(500);
-    agents.forEach(agent => agent.destroy());
+    await delay(CRASH_MILLISECONDS);
+    if (trouble) {
+        for (const runner of crashed) {
+            runner.born = Date.now();
+            await runner.start();
+            store.put("servers", runner.id, runner.entry({ sequence: 2 }));
+        }
+        record.now("the runners are back");
+    }
+    await delay(2500);
+    isOver = true;
+    await Promise.all(uses);
 
-    const runs = runners.flatMap(({ id: runner, received }) => received.map(entry => ({ ...entry, runner })));
-    return results.flatMap(({ id, sentAt, endedAt, status, complete, error }) => {
-        const run = runs.find(entry => entry.id === id && entry.ranAt !== undefined);
-        record.note(sentAt, `${id} sent to ${node.name}`);
+    const sound = new Set(runners.slice(CRASHED).flatMap(({ received }) => received.map(({ id }) => id)));
+    const losses = new Map();
+    for (const { id, name, sentAt, endedAt, status, complete, error, isKept } of results) {
+        const reached = sound.has(id) ? "reached a sound runner" : "reached no sound runner";
+        record.note(sentAt, `${id} sent to ${name} on a ${isKept ? "kept" : "new"} channel, ${reached}`);
         record.note(endedAt, `${id} ends: ${complete ? status : `no whole answer (${error})`}`);
-        if (run !== undefined) {
-            record.note(run.ranAt, `${id} runs at ${run.runner}`);
+        if (!complete && isKept && sound.has(id)) {
+            losses.set(name, (losses.get(name) ?? 0) + 1);
         }
-        const isExcused =
-            endedAt - sentAt >= ROUTE_TIMEOUT_MILLISECONDS || endedAt - stoppedAt >= LAST_SIXTH_MILLISECONDS;
-        return complete || run === undefined || isExcused
-            ? []
-            : [`LOST: ${id} ran at ${run.runner}, and its channel ended without an answer (${error})`];
-    });
+    }
+    const runs = runners.flatMap(({ id: runner, received }) => received.map(entry => ({ ...entry, runner })));
+    runs.filter(({ ranAt }) => ranAt).forEach(({ ranAt, id, runner }) => record.note(ranAt, `${id} runs at ${runner}`));
+    return [...losses]
+        .filter(([, count]) => count > ALLOWED_LOSSES)
+        .map(
+            ([name, count]) =>
+                `LOST: ${name} passed ${count} requests from kept channels on to sound runners and closed the ` +
+                `channels without an answer; its process ended by itself ${ends.get(name) ?? 0} times`,
+        );
 });
--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -18,8 +18,7 @@
     const trouble = process.env.TROUBLE !== "0";
     const record = createRecord(folder);
     const store = createStore();
-    const { endpoint } = await store.listen("127.0.0.1");
-    const deployment = createDeployment(() => endpoint);
+    const deployment = createDeployment(() => store.listen("127.0.0.1"));
     const runners = [];
     let exit = EXIT_COULD_NOT_RUN;
     const end = async () => {
--- a/review/lib/deployment.js
+++ b/review/lib/deployment.js
@@ -72,8 +72,8 @@
     });
 }
 
-/** @param store Function that returns the store's endpoint for a node. */
-export function createDeployment(store) {
+/** @param openStore Opens an endpoint of the store for a node, so that single nodes can be cut off from it. */
+export function createDeployment(openStore) {
     const folder = mkdtempSync(join(tmpdir(), "review-"));
     const nodes = [];
     let base = 0;
@@ -120,6 +120,7 @@
             await choosePorts(addresses);
             for (const [index, ip] of addresses.entries()) {
                 const zone = zones[index % zones.length];
+                const store = await openStore();
                 const name = `frontend-${zone}-${index + 1}`;
                 const fields = {
                     "node-name": name,
@@ -135,13 +136,14 @@
                     "seed-nodes": addresses.slice(0, 3).map(address => `${address}:${base + 2}`),
                     limits: { "link-mbps": 1000.0 },
                     bounds,
-                    platform: { address: store(name) },
+                    platform: { address: store.endpoint },
                 };
                 const settings = join(folder, `${name}.ini`);
                 writeFileSync(settings, renderSettings(fields));
                 nodes.push({
                     name,
                     ip,
+                    store,
                     settings,
                     callers: `${ip}:${base}`,
                     ready: `${ip}:${base + 1}`,
--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -29,8 +29,11 @@
         ...(value === undefined ? { deleted: true } : { value }),
     });
 
-    const answer = (response, status, body) => {
+    const answer = (state, response, status, body) => {
         setTimeout(() => {
+            if (state.mode === "silent") {
+                return;
+            }
             const text = JSON.stringify({
                 ...body,
                 "schema-version": version,
@@ -59,10 +62,10 @@
         }
     };
 
-    const transact = (body, response) => {
+    const transact = (state, body, response) => {
         const { "expected-revision": expected = [], puts = [], remove = [] } = JSON.parse(body);
         if ([...puts, ...remove].some(({ table }) => table === "op" || table === "servers")) {
-            answer(response, 403, {});
+            answer(state, response, 403, {});
             return;
         }
         const current = row => {
@@ -71,14 +74,14 @@
         };
         if (expected.some(row => current(row) !== row["schema-version"])) {
             const found = expected.map(row => rows.get(keyOf(row))).filter(row => row?.value !== undefined);
-            answer(response, 412, { rows: found.map(encode) });
+            answer(state, response, 412, { rows: found.map(encode) });
             return;
         }
         apply(puts, remove);
-        answer(response, 200, {});
+        answer(state, response, 200, {});
     };
 
-    const get = (query, response) => {
+    const get = (state, query, response) => {
         const limit = Math.min(PAGE_ROWS, Number(query.get("limit") ?? PAGE_ROWS));
         const from = query.get("source") ?? "";
         const found = [...rows.values()]
@@ -90,10 +93,10 @@
                     row.key >= from,
             )
             .sort((a, b) => (a.key < b.key ? -1 : 1));
-        answer(response, 200, { rows: found.slice(0, limit).map(encode), "has-more": found.length > limit });
+        answer(state, response, 200, { rows: found.slice(0, limit).map(encode), "has-more": found.length > limit });
     };
 
-    const feed = (query, response) => {
+    const feed = (state, query, response) => {
         const since = Number(query.get("start-revision"));
         const changed = () =>
             [...rows.values()]
@@ -102,7 +105,7 @@
         const finish = () => {
             clearTimeout(timer);
             feeds.delete(check);
-            answer(response, 200, { rows: changed().map(encode) });
+            answer(state, response, 200, { rows: changed().map(encode) });
         };
         const check = () => {
             if (changed().length > 0) {
@@ -129,23 +132,26 @@
         const [path, query = ""] = request.url.split("?");
         const parameters = new URLSearchParams(query);
         if (path === "/rows-tx") {
-            transact(Buffer.concat(chunks).toString(), response);
+            transact(state, Buffer.concat(chunks).toString(), response);
         }
         else if (path === "/rows-get") {
-            get(parameters, response);
+            get(state, parameters, response);
         }
         else if (path === "/rows-feed") {
-            feed(parameters, response);
+            feed(state, parameters, response);
         }
         else {
-            answer(response, 404, {});
+            answer(state, response, 404, {});
         }
     };
 
     return {
-        /** Opens an endpoint. Its `mode` is `up`, or `silent`: calls are taken and never answered. */
+        /**
+         * Opens an endpoint. Its mode is `up`, or `silent`: calls are taken, have no effect, and are never answered,
+         * also those that wait at the beginning of the silence.
+         */
         listen: async address => {
-            const state = { mode: "up", endpoint: "" };
+            const state = { mode: "up", endpoint: "", setMode: mode => (state.mode = mode) };
             const server = createServer((request, response) => {
                 serve(state, request, response).catch(() => response.destroy());
             });
