--- a/review/1/run.js
+++ b/review/1/run.js
@@ -75,7 +75,9 @@
     };
     const drainRunners = async group => {
         await delay(DRAIN_AFTER);
-        group.forEach(runner => store.put("servers", runner.id, runner.entry({ state: "draining", sequence: 2 })));
+        group.forEach(runner =>
+            store.put("servers", runner.id, runner.entry({ state: "draining", sequence: 2 })),
+        );
         record.now("the new runners drain");
         await delay(DRAIN);
         await stopRunners(group);
@@ -114,7 +116,9 @@
             const other = 1 + Math.floor(Math.random() * (NODES - 1));
             const node = deployment.nodes[Math.random() < FIRST_NODE_SHARE ? 0 : other];
             const isLookup = Math.random() < 0.3;
-            const options = isLookup ? { path: "/lookup/1" } : { path: "/reserve/1", method: "POST", body: "x" };
+            const options = isLookup
+                ? { path: "/lookup/1" }
+                : { path: "/reserve/1", method: "POST", body: "x" };
             send(node.callers, options).then(result => results.push({ ...result, name: node.name }));
         }
     };
--- a/review/2/run.js
+++ b/review/2/run.js
@@ -122,7 +122,9 @@
         }
     }
     const runs = runners.flatMap(({ id: runner, received }) => received.map(entry => ({ ...entry, runner })));
-    runs.filter(({ ranAt }) => ranAt).forEach(({ ranAt, id, runner }) => record.note(ranAt, `${id} runs at ${runner}`));
+    runs.filter(({ ranAt }) => ranAt).forEach(({ ranAt, id, runner }) =>
+        record.note(ranAt, `${id} runs at ${runner}`),
+    );
     return [...losses]
         .filter(([, count]) => count > ALLOWED_LOSSES)
         .map(
--- a/review/lib/runner.js
+++ b/review/lib/runner.js
@@ -38,7 +38,9 @@
         response.writeHead(status, {
             ...answerHeaders(request),
             "content-length": 0,
-            ...(status === 421 ? { "geraniumbarrow-instance-id": id } : { "geraniumbarrow-not-executed": "1" }),
+            ...(status === 421
+                ? { "geraniumbarrow-instance-id": id }
+                : { "geraniumbarrow-not-executed": "1" }),
         });
         response.end();
         if (status === 503) {
--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -93,7 +93,10 @@
                     row.key >= from,
             )
             .sort((a, b) => (a.key < b.key ? -1 : 1));
-        answer(state, response, 200, { rows: found.slice(0, limit).map(encode), "has-more": found.length > limit });
+        answer(state, response, 200, {
+            rows: found.slice(0, limit).map(encode),
+            "has-more": found.length > limit,
+        });
     };
 
     const feed = (state, query, response) => {
