End the processes of review scripts in every case

A restart that was pending at the end of case 2 could have started a process after the clean-up, and an error outside the play could have looked like a broken rule (exit 1). Both end the script with a clean-up now, the latter with exit 2.

--- a/review/2/run.js
+++ b/review/2/run.js
@@ -74,7 +74,14 @@
             }
             ends.set(node.name, (ends.get(node.name) ?? 0) + 1);
             record.now(`${node.name} ended by itself: code ${code}, signal ${signal}`);
-            setTimeout(() => deployment.restart(node).then(() => watch(node)), RESTART_MILLISECONDS);
+            setTimeout(() => {
+                if (!isOver) {
+                    deployment
+                        .restart(node)
+                        .then(() => watch(node))
+                        .catch(error => record.now(error.message));
+                }
+            }, RESTART_MILLISECONDS);
         });
     };
     deployment.nodes.forEach(watch);
--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -27,10 +27,15 @@
         store.close();
         record.write();
     };
-    const timer = setTimeout(() => {
-        record.now("the case took too long");
+    const giveUp = reason => {
+        record.now(`could not run: ${reason}`);
+        console.error(reason);
         end().finally(() => process.exit(EXIT_COULD_NOT_RUN));
-    }, TIME_LIMIT_MILLISECONDS);
+    };
+    const timer = setTimeout(() => giveUp("the case took too long"), TIME_LIMIT_MILLISECONDS);
+    process.once("SIGTERM", () => giveUp("ended from outside"));
+    process.once("SIGINT", () => giveUp("ended from outside"));
+    process.once("uncaughtException", error => giveUp(error.stack));
     try {
         const breaks = await play({ trouble, record, store, deployment, runners });
         breaks.forEach(line => record.now(`BROKEN ${line}`));
