Let the final fault of review case 1 follow a change

The quoted sentence names a final fault right after a change was acknowledged; the script now writes one.

--- a/review/1/run.js
+++ b/review/1/run.js
@@ -147,6 +147,9 @@
     }
     await delay(FINAL_FAULT_AT);
 
+    // The final fault follows the acknowledgement of a change.
+    store.put("op", "config", createConfiguration({ version: 2 }));
+    record.now("the operator changes the configuration");
     const faultAt = Date.now();
     record.now("final fault: all processes are killed");
     deployment.nodes.forEach(({ child }) => child.kill("SIGKILL"));
