Log the evidence at each change of a shift's stage

Callers of a service kept getting failures from a version that was reported as completed, and the logs did not say on what evidence: counts were logged for a roll-back only. Nor did a metric say how many requests each version got, so that a blind test and a missing check could not be told apart.

The node that advances a shift now logs the counts of both versions and the log ratios, and version_attempts_total counts attempts by version. No decision changes.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -102,7 +102,12 @@
     /** Requests per second that this node may send to one cold upstream of a service. */
     readonly coldAllowance: (service: Service, upstream: RegisteredUpstream) => number;
     readonly limits: Pick<UpstreamLimits, "hasRoom" | "record" | "consume">;
-    readonly countAttempt: (service: string, model: string | undefined, result: string) => void;
+    readonly countAttempt: (
+        service: string,
+        version: string,
+        model: string | undefined,
+        result: string,
+    ) => void;
     /** Counts an attempt whose upstream broke off before the answer (`hasBegun` false) or within it. */
     readonly countBrokenOff: (service: string, hasBegun: boolean) => void;
     /** Records the outcome of an attempt as evidence about the upstream's version. */
@@ -367,7 +372,7 @@
                 options.quarantine.recordAnswer(isWholeSuccess ? suspects : requestSuspects, endedAt);
             }
             const isBrokenOff = result.kind === "lost" && result.isBrokenOff === true;
-            options.countAttempt(service.name, usedModel, result.kind);
+            options.countAttempt(service.name, upstream.entry.version, usedModel, result.kind);
             if (isBrokenOff) {
                 options.countBrokenOff(service.name, events > 0);
                 if (!options.isLeaving(upstream)) {
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -357,8 +357,10 @@
             service.coldRequestsPerSecond === 0
                 ? Infinity
                 : nodes.shareOf(upstream.entry.id, service.coldRequestsPerSecond * config.cold.factor),
-        countAttempt: (service, model, result) =>
-            metrics.count("attempts_total", { service, model: model ?? "", result }),
+        countAttempt: (service, version, model, result) => {
+            metrics.count("attempts_total", { service, model: model ?? "", result });
+            metrics.count("version_attempts_total", { service, version, result });
+        },
         countBrokenOff: (service, hasBegun) =>
             metrics.count("attempts_broken_off_total", { service, begun: String(hasBegun) }),
         recordEvidence: (upstream, stratum, succeeded, latency) =>
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -95,6 +95,14 @@
 /** Answers of the new version that need no further reports. Twice the minimum, for rows in flight. */
 const SUFFICIENT_ANSWERS = 2 * MINIMUM_ANSWERS;
 
+/** Log messages of the changes of stage that this node decides. */
+const STAGE_MESSAGES: Readonly<Record<ShiftStage, string>> = {
+    canary: "Starting the canary stage.",
+    full: "The new version shows no regression; increasing its share.",
+    completed: "The new version shows no regression; completing the shift.",
+    "rolled-back": "The new version is bad; going back.",
+};
+
 interface TrackedShift {
     order: ShiftOrder;
     readonly detectedAt: number;
@@ -413,15 +421,20 @@
         const progress = (time - shift.state.startedAt) / order.durationMilliseconds;
         const assessment = assess(shift);
         const stage = nextStage(order, shift.state, assessment, time, settings);
-        if (stage === "rolled-back") {
-            logger.warn("The new version is bad; going back.", {
+        if (stage !== undefined) {
+            const level = stage === "rolled-back" ? "warn" : "info";
+            logger[level](STAGE_MESSAGES[stage], {
                 service: order.service,
                 version: order.version,
                 answers: assessment.answers,
                 errors: assessment.errors,
+                referenceAnswers: assessment.referenceAnswers,
+                referenceErrors: assessment.referenceErrors,
                 errorLogRatio: Math.round(assessment.errorLogRatio * 10) / 10,
                 latencyLogRatio: Math.round(assessment.latencyLogRatio * 10) / 10,
             });
+        }
+        if (stage === "rolled-back") {
             // Takes effect at this node before the write, and so also while the store is unreachable.
             mergeState(shift, { ...shift.state, stage }, "evidence");
         }
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -121,6 +121,8 @@
     readonly errors: number;
     /** Answers of the old version. */
     readonly referenceAnswers: number;
+    /** Errors of the old version. */
+    readonly referenceErrors: number;
     /** Logarithm of the likelihood ratio of the error test. */
     readonly errorLogRatio: number;
     /** Logarithm of the likelihood ratio of the latency tests: the larger of head and pace. */
@@ -142,6 +144,10 @@
     const headStrata = entries.filter(([key]) => !key.endsWith(PACE_SUFFIX)).map(([, stratum]) => stratum);
     const paceStrata = entries.filter(([key]) => key.endsWith(PACE_SUFFIX)).map(([, stratum]) => stratum);
     const total = headStrata.reduce((sum, { version }) => addCounters(sum, version), NO_COUNTERS);
+    const referenceTotal = headStrata.reduce(
+        (sum, { reference }) => addCounters(sum, reference),
+        NO_COUNTERS,
+    );
     const alarmLogRatio = ALARM_LOG_RATIO + Math.log(tables);
     const errorLogRatio = logRatioOfErrors(headStrata, ERROR_MARGIN_RATIO);
     const latencyLogRatio = Math.max(latencyLogRatioOf(headStrata), latencyLogRatioOf(paceStrata));
@@ -150,7 +156,8 @@
         isRegression: hasErrorRegression || latencyLogRatio >= alarmLogRatio,
         answers: total.answers,
         errors: total.errors,
-        referenceAnswers: headStrata.reduce((sum, { reference }) => sum + reference.answers, 0),
+        referenceAnswers: referenceTotal.answers,
+        referenceErrors: referenceTotal.errors,
         errorLogRatio,
         latencyLogRatio,
     };
