--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -40,6 +40,7 @@
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
 import { createShiftCoordinator } from "../shifts/shift-coordinator.js";
+import { resolveShiftSettings } from "../shifts/shift-settings.js";
 import { createHttpSend } from "../upstreams/send.js";
 import type { PlatformAdapter } from "./adapter.js";
 import { createNodeList } from "./node-list.js";
@@ -59,20 +60,6 @@
 /** Used share of the retry ratio. The rest is a margin, because the nodes' windows are not aligned. */
 const USED_RETRY_RATIO_SHARE = 0.85;
 
-/**
- * Used share of the exposure limit. The rest is a margin, because sessions differ in their number of
- * requests.
- */
-const USED_EXPOSURE_SHARE = 0.7;
-
-/** Maximum share of a shift's duration for collecting running sessions. */
-const COLLECT_SHARE = 0.25;
-
-/** Shares of a shift's duration: start and end of the ramp to all sessions, and completion. */
-const FULL_AT = 0.5;
-const FULL_BY = 0.65;
-const COMPLETE_AT = 0.8;
-
 /** Interval between checks for lapsed registrations, milliseconds. */
 const EXPIRY_INTERVAL_MILLISECONDS = 100;
 
@@ -221,14 +208,10 @@
         clockOffset: () => sync.clockOffset(),
         nodeCount: () => nodes.count(),
         encodeReport: (order, stage) => adapter.encodeShiftReport(order, stage),
-        settings: {
+        settings: resolveShiftSettings({
             sessionMilliseconds: config.sessions.idleSeconds * 1000,
-            collectShare: COLLECT_SHARE,
-            canaryShare: config.shifts.exposureShare * USED_EXPOSURE_SHARE,
-            fullAt: FULL_AT,
-            fullBy: FULL_BY,
-            completeAt: COMPLETE_AT,
-        },
+            exposureShare: config.shifts.exposureShare,
+        }),
         clock,
         lifecycle,
         logger: createLogger("shifts"),
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -3,11 +3,6 @@
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { createSeededRandom } from "../../common/random.js";
-import { createLifecycle } from "../../lifecycle/lifecycle.js";
-import { silentLogging } from "../../logging/logging.js";
-import { createRowReplica, preferStored } from "../../replica/row-replica.js";
-import type { SharedStore, StoreTransaction } from "../../replica/shared-store.js";
-import { createShiftCoordinator } from "../shift-coordinator.js";
 import { nextStage, versionRule } from "../shift.js";
 import type { ShiftOrder, ShiftState } from "../shift.js";
 import {
@@ -19,6 +14,7 @@
 } from "../shift-evidence.js";
 import type { EvidenceTable, WireEvidence } from "../shift-evidence.js";
 import { createSessionVersions } from "../session-versions.js";
+import { advanceTime, createShiftNodes } from "./shift-nodes.js";
 
 /** The share of sessions on the new version increases from `fullAt` to `fullBy` of the duration. */
 const settings = {
@@ -181,78 +177,8 @@
     assert.equal(sessions.size, 1);
 });
 
-/** Coordinators of several nodes on one store with conditional writes. */
 function createNodes(names: readonly string[]) {
-    let rows = new Map<string, { readonly value: string; readonly revision: number }>();
-    const replicas = names.map(() => createRowReplica(preferStored));
-    let currentOrder = order;
-    let epoch = 0;
-    let revision = 1;
-    let isStoreUp = true;
-    const transact = ({ conditions, writes }: StoreTransaction): Promise<boolean> => {
-        if (!isStoreUp) {
-            return Promise.reject(new Error("down"));
-        }
-        if (conditions.some(condition => (rows.get(condition.key)?.revision ?? 0) !== condition.revision)) {
-            return Promise.resolve(false);
-        }
-        revision += 1;
-        for (const { table, key, value } of writes) {
-            rows.set(`${table === "reports" ? "report:" : ""}${key}`, { value: value!, revision });
-            if (table !== "reports") {
-                replicas.forEach(replica =>
-                    replica.apply({ epoch, revision, complete: false, rows: [{ key, revision, value }] }),
-                );
-            }
-        }
-        return Promise.resolve(true);
-    };
-    const store = { transact } as unknown as SharedStore;
-    replicas.forEach(replica => replica.apply({ epoch: 0, revision: 1, complete: true, rows: [] }));
-    const lifecycle = createLifecycle();
-    const coordinators = names.map((node, index) =>
-        createShiftCoordinator({
-            node,
-            orders: () => [currentOrder],
-            replica: replicas[index]!,
-            store,
-            clockOffset: () => 0,
-            nodeCount: () => names.length,
-            encodeReport: (_order, stage) => ({ table: "reports", key: "shift", value: stage }),
-            settings,
-            clock: { now: Date.now, wallTime: Date.now },
-            lifecycle,
-            logger: silentLogging("shifts"),
-        }),
-    );
-    return {
-        coordinators,
-        lifecycle,
-        evidenceRows: () => [...rows.keys()].filter(key => key.startsWith("evidence/")).length,
-        report: () => rows.get("report:shift")?.value,
-        copy: () => ({ rows: new Map(rows), revision }),
-        restore: (copy: { rows: typeof rows; revision: number }, rewritten: ShiftOrder) => {
-            rows = new Map(copy.rows);
-            revision = copy.revision;
-            epoch += 1;
-            currentOrder = rewritten;
-            const stored = [...rows].filter(([key]) => !key.startsWith("report:"));
-            const tableRows = stored.map(([key, row]) => ({ key, ...row }));
-            replicas.forEach(replica => replica.apply({ epoch, revision, complete: true, rows: tableRows }));
-        },
-        setStoreUp: (up: boolean) => {
-            isStoreUp = up;
-        },
-    };
-}
-
-async function advanceTime(mock: { tick(milliseconds: number): void }, milliseconds: number): Promise<void> {
-    for (let passed = 0; passed < milliseconds; passed += 100) {
-        mock.tick(100);
-        for (let turn = 0; turn < 5; turn++) {
-            await Promise.resolve();
-        }
-    }
+    return createShiftNodes(names, order, settings);
 }
 
 for (const [name, revision] of [
