Test versions by proportions of failed and of slow answers

Cause: the test of errors compares rates of rare events with one ratio for all routes. Where the old version fails half of its attempts, which repeats of requests that fail by themselves bring about, the new one cannot become several times worse, and that route outweighs one with 28 failures of 45 against none of 68: log ratio 1.9, alarm at 6.9. A slow share of the answers was only seen in the mean. Counters held all answers since the start, so that a version that turns bad late was diluted.

Change: answers count as trials with two outcomes, per route and model and per quarter of the time; the test averages over the routes and the periods that a fault may concern. Slow answers, and attempts that were given up, are tested in the same way. First attempts count only. A process that crashes or is out of reach counts once until it answers.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -39,6 +39,7 @@
     sharedTokens,
 } from "./request-shape.js";
 import { pauseAfterRejection } from "./rejection-pause.js";
+import type { AnswerOutcome } from "../shifts/shift-evidence.js";
 import type { ServiceRetryBudget } from "./retry-budget.js";
 
 /** A request that was read to its end and matched to a route. */
@@ -114,7 +115,7 @@
     readonly recordEvidence: (
         upstream: RegisteredUpstream,
         stratum: string,
-        succeeded: boolean,
+        outcome: AnswerOutcome,
         timing: AttemptTiming,
     ) => void;
 }
@@ -162,6 +163,26 @@
         : Math.max(headRatio, latencies.record(`${stratum}\u0000pace`, timing.paceMilliseconds));
 }
 
+/** What an attempt says about the version of its upstream; `undefined` when it says nothing. */
+function answerOutcomeOf(result: AttemptResult): AnswerOutcome | undefined {
+    switch (result.kind) {
+        case "delivered":
+            return isSuccess(result.status) ? "succeeded" : "failed";
+        case "doubted":
+            return "succeeded";
+        case "failed":
+            // The end of a success is uncertain because of its framing, not because of the version.
+            return isSuccess(result.response.status) ? undefined : "failed";
+        case "lost":
+            return result.isBrokenOff === true ? "broken-off" : "unanswered";
+        case "ended":
+            return result.reason === "deadline exceeded" ? "unanswered" : undefined;
+        case "not-run":
+        case "withdrawn":
+            return undefined;
+    }
+}
+
 export function createRequestForwarder(options: RequestForwarderOptions) {
     const { clock, codec } = options;
 
@@ -384,13 +405,22 @@
                     );
                 }
             }
-            recordResult(result, upstream, stratum, {
+            const timing: AttemptTiming = {
                 headMilliseconds,
                 paceMilliseconds:
                     headMilliseconds === undefined || events < MINIMUM_PACED_EVENTS
                         ? undefined
                         : (endedAt - sentAt - headMilliseconds) / events,
-            });
+            };
+            const outcome = answerOutcomeOf(result);
+            // A retry is not independent of the attempt before: the request itself may fail everywhere.
+            if (outcome !== undefined && executions === 0) {
+                options.recordEvidence(upstream, stratum, outcome, {
+                    ...timing,
+                    headMilliseconds: headMilliseconds ?? endedAt - sentAt,
+                });
+            }
+            recordResult(result, upstream, stratum, timing);
             trace.add("attempts", "An attempt ended.", {
                 upstream: upstream.entry.id,
                 model: usedModel,
@@ -419,7 +449,6 @@
                 case "delivered":
                 case "doubted": {
                     upstream.health.recordSuccess(latencyRatioOf(options.latencies, stratum, timing));
-                    options.recordEvidence(upstream, stratum, true, timing);
                     break;
                 }
                 case "not-run":
@@ -450,7 +479,6 @@
                     if (result.kind === "lost") {
                         options.recordUnanswered(upstream);
                     }
-                    options.recordEvidence(upstream, stratum, false, timing);
                     lastFailure = result.kind === "failed" ? result.response : lastFailure;
                     break;
                 case "ended":
--- a/src/node/rollout/sequential-test.ts
+++ b/src/node/rollout/sequential-test.ts
@@ -119,7 +119,8 @@
     return Math.sqrt(((variance * total) / priorVariance) * Math.log(total / (variance * alpha * alpha)));
 }
 
-function logMeanExp(logs: readonly number[]): number {
+/** Logarithm of the mean of exponentials. */
+export function logMeanExp(logs: readonly number[]): number {
     const largest = Math.max(...logs);
     const sum = logs.reduce((total, log) => total + Math.exp(log - largest), 0);
     return largest + Math.log(sum / logs.length);
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -346,8 +346,8 @@
         },
         countBrokenOff: (service, hasBegun) =>
             metrics.count("attempts_broken_off_total", { service, begun: String(hasBegun) }),
-        recordEvidence: (upstream, stratum, succeeded, latency) =>
-            shifts.record(upstream.entry.service, upstream.entry.version, stratum, succeeded, latency),
+        recordEvidence: ({ entry, process }, stratum, outcome, timing) =>
+            shifts.record(entry.service, entry.version, stratum, outcome, timing, process),
         nodeCount: () => nodes.count(),
         recordLeaving: upstream => upstreams.recordLeaving(upstream),
         recordUnanswered: ({ entry }) => reachability.recordFailure(entry.address),
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -12,7 +12,7 @@
     encodeEvidence,
     mergeEvidence,
 } from "../shift-evidence.js";
-import type { EvidenceTable, WireEvidence } from "../shift-evidence.js";
+import type { AnswerOutcome, EvidenceTable, WireEvidence } from "../shift-evidence.js";
 import { createSessionVersions } from "../session-versions.js";
 import { advanceTime, createShiftNodes } from "./shift-nodes.js";
 
@@ -43,6 +43,10 @@
 
 const fastTiming = timing(100);
 
+function outcomeOf(succeeded: boolean): AnswerOutcome {
+    return succeeded ? "succeeded" : "failed";
+}
+
 /** Evidence of a single stratum, "reports". */
 function buildEvidence(
     newErrors: number,
@@ -53,7 +57,7 @@
     let table: EvidenceTable = {};
     const add = (isNew: boolean, errors: number, answers: number): void => {
         for (let index = 0; index < answers; index++) {
-            table = countEvidence(table, "reports", isNew, index >= errors, fastTiming);
+            table = countEvidence(table, "reports", 0, isNew, outcomeOf(index >= errors), fastTiming);
         }
     };
     add(true, newErrors, newAnswers);
@@ -145,8 +149,8 @@
 test("a version that is eight times as slow shows a regression", () => {
     let table: EvidenceTable = {};
     for (let index = 0; index < 15; index++) {
-        table = countEvidence(table, "reports", true, true, timing(700 + 20 * index));
-        table = countEvidence(table, "reports", false, true, timing(80 + 5 * index));
+        table = countEvidence(table, "reports", 0, true, "succeeded", timing(700 + 20 * index));
+        table = countEvidence(table, "reports", 0, false, "succeeded", timing(80 + 5 * index));
     }
     assert.equal(assessEvidence(table).isRegression, true);
 });
@@ -155,9 +159,16 @@
 test("a version with slow streams shows a regression even if the response headers arrive in time", () => {
     let table: EvidenceTable = {};
     for (let index = 0; index < 98; index++) {
-        table = countEvidence(table, "reports", true, true, timing(100, index % 2 === 0 ? 400 : 50));
-        table = countEvidence(table, "reports", false, true, timing(100, 40 + (index % 30)));
-        table = countEvidence(table, "reports", false, true, timing(100, 70 - (index % 30)));
+        table = countEvidence(
+            table,
+            "reports",
+            0,
+            true,
+            "succeeded",
+            timing(100, index % 2 === 0 ? 400 : 50),
+        );
+        table = countEvidence(table, "reports", 0, false, "succeeded", timing(100, 40 + (index % 30)));
+        table = countEvidence(table, "reports", 0, false, "succeeded", timing(100, 70 - (index % 30)));
     }
     assert.equal(assessEvidence(table).isRegression, true);
 });
@@ -192,8 +203,15 @@
         await advanceTime(context.mock.timers, 1000);
         const canary = copy();
         for (let index = 0; index < 60; index++) {
-            coordinators[index % 2]!.record("engines", "v2", "reports", index % 3 === 0, fastTiming);
-            coordinators[index % 2]!.record("engines", "v1", "reports", true, fastTiming);
+            coordinators[index % 2]!.record(
+                "engines",
+                "v2",
+                "reports",
+                outcomeOf(index % 3 === 0),
+                fastTiming,
+                "process",
+            );
+            coordinators[index % 2]!.record("engines", "v1", "reports", "succeeded", fastTiming, "process");
         }
         await advanceTime(context.mock.timers, 4000);
         assert.equal(report(), "rolled-back");
@@ -227,8 +245,8 @@
     await advanceTime(context.mock.timers, 1000);
     assert.equal(report(), "canary");
     for (let index = 0; index < 20; index++) {
-        coordinators[index % 2]!.record("engines", "v2", "reports", true, fastTiming);
-        coordinators[index % 2]!.record("engines", "v1", "reports", true, fastTiming);
+        coordinators[index % 2]!.record("engines", "v2", "reports", "succeeded", fastTiming, "process");
+        coordinators[index % 2]!.record("engines", "v1", "reports", "succeeded", fastTiming, "process");
     }
     await advanceTime(context.mock.timers, 18_000);
     assert.equal(report(), "completed");
@@ -241,9 +259,16 @@
     await lifecycle.start();
     await advanceTime(context.mock.timers, 1000);
     for (let index = 0; index < 16; index++) {
-        coordinators[index % 2]!.record("engines", "v2", "reports", index % 4 === 0, fastTiming);
-        coordinators[index % 2]!.record("engines", "v1", "reports", true, fastTiming);
-        coordinators[index % 2]!.record("engines", "v1", "reports", true, fastTiming);
+        coordinators[index % 2]!.record(
+            "engines",
+            "v2",
+            "reports",
+            outcomeOf(index % 4 === 0),
+            fastTiming,
+            "process",
+        );
+        coordinators[index % 2]!.record("engines", "v1", "reports", "succeeded", fastTiming, "process");
+        coordinators[index % 2]!.record("engines", "v1", "reports", "succeeded", fastTiming, "process");
     }
     await advanceTime(context.mock.timers, 3000);
     assert.equal(report(), "rolled-back");
@@ -273,8 +298,8 @@
     await advanceTime(context.mock.timers, 1000);
     setStoreUp(false);
     for (let index = 0; index < 20; index++) {
-        coordinators[0]!.record("engines", "v2", "reports", false, fastTiming);
-        coordinators[0]!.record("engines", "v1", "reports", true, fastTiming);
+        coordinators[0]!.record("engines", "v2", "reports", "failed", fastTiming, "process");
+        coordinators[0]!.record("engines", "v1", "reports", "succeeded", fastTiming, "process");
     }
     await advanceTime(context.mock.timers, 2000);
     assert.equal(coordinators[0]!.rule("engines").isAllowed("v2"), false);
@@ -303,7 +328,14 @@
             const isFailed = random() < (isNew ? errorShares.new : errorShares.old);
             failedAnswers += isNew && isFailed ? 1 : 0;
             const coordinator = coordinators[Math.floor(random() * coordinators.length)]!;
-            coordinator.record("engines", isNew ? "v2" : "v1", "reports", !isFailed, fastTiming);
+            coordinator.record(
+                "engines",
+                isNew ? "v2" : "v1",
+                "reports",
+                outcomeOf(!isFailed),
+                fastTiming,
+                "process",
+            );
         }
         await advanceTime(context.mock.timers, 100);
     }
@@ -339,7 +371,14 @@
     await advanceTime(context.mock.timers, 1000);
     for (const coordinator of nodes.coordinators) {
         for (let answer = 0; answer < 10; answer++) {
-            coordinator.record("engines", answer < 2 ? "v2" : "v1", "reports", true, fastTiming);
+            coordinator.record(
+                "engines",
+                answer < 2 ? "v2" : "v1",
+                "reports",
+                "succeeded",
+                fastTiming,
+                "process",
+            );
         }
     }
     await advanceTime(context.mock.timers, 18_000);
@@ -365,7 +404,14 @@
     const { coordinators, lifecycle, report } = createNodes(names);
     const answers = (index: number, version: string, count: number, errors = 0): void => {
         for (let answer = 0; answer < count; answer++) {
-            coordinators[index]!.record("engines", version, "reports", answer >= errors, fastTiming);
+            coordinators[index]!.record(
+                "engines",
+                version,
+                "reports",
+                outcomeOf(answer >= errors),
+                fastTiming,
+                "process",
+            );
         }
     };
     await lifecycle.start();
@@ -386,7 +432,7 @@
     await lifecycle.start();
     await advanceTime(context.mock.timers, 1000);
     setStoreUp(false);
-    coordinators[0]!.record("engines", "v2", "reports", false, fastTiming);
+    coordinators[0]!.record("engines", "v2", "reports", "failed", fastTiming, "process");
     await advanceTime(context.mock.timers, 2000);
     assert.equal(evidenceRows(), 0);
     setStoreUp(true);
@@ -410,3 +456,20 @@
     assert.ok(keys.every(key => !rule.prefersNew!(key, undefined)));
     await lifecycle.stop();
 });
+
+test("a process that breaks off many answers at once does not roll back its version", async context => {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const { coordinators, lifecycle, report } = createNodes(["a", "b"]);
+    await lifecycle.start();
+    await advanceTime(context.mock.timers, 1000);
+    for (let index = 0; index < 60; index++) {
+        coordinators[index % 2]!.record("engines", "v1", "reports", "succeeded", fastTiming, "old");
+        coordinators[index % 2]!.record("engines", "v2", "reports", "succeeded", fastTiming, "new");
+    }
+    for (let index = 0; index < 60; index++) {
+        coordinators[index % 2]!.record("engines", "v2", "reports", "broken-off", fastTiming, "crashed");
+    }
+    await advanceTime(context.mock.timers, 5000);
+    assert.equal(report(), "canary");
+    await lifecycle.stop();
+});
--- a/src/node/shifts/__tests__/simulated-shift.ts
+++ b/src/node/shifts/__tests__/simulated-shift.ts
@@ -134,10 +134,18 @@
                 attempts += 1;
                 newAttempts += isNew ? 1 : 0;
             }
-            coordinator.record("app", isNew ? "v2" : "v1", route.name, succeeded, {
-                headMilliseconds: isSlow ? SLOWDOWN * work : work,
-                paceMilliseconds: undefined,
-            });
+            // A retry is not independent of the attempt before it.
+            if (attempt === 1) {
+                const headMilliseconds = isSlow ? SLOWDOWN * work : work;
+                coordinator.record(
+                    "app",
+                    isNew ? "v2" : "v1",
+                    route.name,
+                    succeeded ? "succeeded" : "failed",
+                    { headMilliseconds, paceMilliseconds: undefined },
+                    "process",
+                );
+            }
             if (succeeded || attempt >= route.attempts) {
                 return succeeded;
             }
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -11,6 +11,7 @@
 import type { RowWrite, SharedStore } from "../replica/shared-store.js";
 import {
     MINIMUM_ANSWERS,
+    evidencePeriod,
     isCanarySession,
     isCollecting,
     isSameOrder,
@@ -27,19 +28,25 @@
     encodeEvidence,
     mergeEvidence,
 } from "./shift-evidence.js";
-import type { EvidenceAssessment, EvidenceTable, WireEvidence } from "./shift-evidence.js";
+import type { AnswerOutcome, EvidenceAssessment, EvidenceTable, WireEvidence } from "./shift-evidence.js";
 
 export interface ShiftCoordinator {
     rule(service: string): VersionRule;
     /** Called when a request of a session is sent. Collects the session so that it keeps its version. */
     recordSession(service: string, sessionKey: string): void;
-    /** Adds the outcome of an attempt to this node's evidence. */
+    /**
+     * Adds the outcome of an attempt to this node's evidence.
+     *
+     * @param group Route and model, whose answers are compared between the versions.
+     * @param process Identity of the upstream's process.
+     */
     record(
         service: string,
         version: string,
-        stratum: string,
-        succeeded: boolean,
+        group: string,
+        outcome: AnswerOutcome,
         timing: AttemptTiming,
+        process: string,
     ): void;
     states(): ReadonlyMap<string, ShiftState>;
 }
@@ -110,6 +117,8 @@
     readonly sessions: Set<string>;
     hasReportedSessions: boolean;
     evidence: EvidenceTable;
+    /** Processes whose last attempt at this node got no whole answer. */
+    readonly silentProcesses: Set<string>;
     /** Errors of the new version in the last report. */
     reportedErrors: number;
     /** Answers of both versions in the last report. */
@@ -144,6 +153,10 @@
 
 const NO_VIEW: ShiftView = { storeTime: undefined, isCollected: () => false };
 
+function isOpen(stage: ShiftStage | undefined): boolean {
+    return stage === "canary" || stage === "full";
+}
+
 function stateKey(service: string): string {
     return `shift/${service}`;
 }
@@ -191,6 +204,7 @@
             sessions: new Set(),
             hasReportedSessions: false,
             evidence: {},
+            silentProcesses: new Set(),
             reportedErrors: 0,
             reportedAnswers: 0,
             isSuspicious: false,
@@ -381,6 +395,21 @@
         return { ...merged, isRegression: isConfirmed || nodeAssessment.isRegression };
     };
 
+    /** A process that crashes, or cannot be reached, ends many attempts at once: only the first one counts. */
+    const isAboutVersion = (
+        { silentProcesses }: TrackedShift,
+        outcome: AnswerOutcome,
+        process: string,
+    ): boolean => {
+        if (outcome === "succeeded" || outcome === "failed") {
+            silentProcesses.delete(process);
+            return true;
+        }
+        const isKnown = silentProcesses.has(process);
+        silentProcesses.add(process);
+        return !isKnown;
+    };
+
     const advance = (shift: TrackedShift): void => {
         const { order } = shift;
         const stored = readStoredState(order);
@@ -487,14 +516,15 @@
                 shift.sessions.add(sessionKey);
             }
         },
-        record: (service, version, stratum, succeeded, timing) => {
+        record: (service, version, group, outcome, timing, process) => {
             const shift = shifts.get(service);
             const stage = shift?.state?.stage;
-            if (shift === undefined || (stage !== "canary" && stage !== "full")) {
+            if (shift === undefined || !isOpen(stage) || !isAboutVersion(shift, outcome, process)) {
                 return;
             }
             const isNew = version === shift.order.version;
-            shift.evidence = countEvidence(shift.evidence, stratum, isNew, succeeded, timing);
+            const period = evidencePeriod(shift.order, shift.state!, storeTime());
+            shift.evidence = countEvidence(shift.evidence, group, period, isNew, outcome, timing);
         },
         states: () =>
             new Map(
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -1,11 +1,18 @@
-/** Counts the answers of a service's new and old version, and tests the new version for regressions. */
+/**
+ * Counts the answers of a service's new and old version, and tests the new version for regressions.
+ *
+ * Answers are counted by group (route and model) and period of the shift. A fault may concern all routes or a
+ * single one, from the start or from a later period on. The tests average over these hypotheses, so that
+ * earlier answers and sound routes do not hide a fault.
+ */
 import type { AttemptTiming } from "../forwarding/attempt.js";
 import { addCounters, countAnswer, NO_COUNTERS } from "../rollout/counters.js";
 import type { Counters } from "../rollout/counters.js";
-import { estimateDifference, logRatioOfErrors, logRatioOfLoss } from "../rollout/sequential-test.js";
+import { estimateDifference, logMeanExp, logRatioOfLoss } from "../rollout/sequential-test.js";
 import type { Stratum } from "../rollout/sequential-test.js";
+import { logRatioOfProportions } from "./proportion-test.js";
 
-/** Counters of one stratum. A stratum groups comparable answers: one route and one model. */
+/** Counters of one stratum. A stratum holds comparable answers: one route and model in one period. */
 export interface StratumCounters {
     /** New version. */
     readonly version: Counters;
@@ -13,10 +20,34 @@
     readonly reference: Counters;
 }
 
+/** Result of an attempt, as evidence about the version of its upstream. */
+export type AnswerOutcome =
+    | "succeeded"
+    | "failed"
+    /** The upstream broke off before its answer was complete. */
+    | "broken-off"
+    /** The attempt was given up before its answer was complete. */
+    | "unanswered";
+
 export type EvidenceTable = Readonly<Record<string, StratumCounters>>;
 
-/** Multiple of the old version's error rate up to which an error rate is not a regression. */
-const ERROR_MARGIN_RATIO = 1.6;
+/** Multiple of the old version's odds of an error up to which the odds are not a regression. */
+const ERROR_ODDS_RATIO = 1.6;
+
+/** Multiple of the typical latency of the old version above which an answer is slow. */
+const SLOW_RATIO = 4;
+
+/** Multiple of the old version's odds of a slow answer up to which the odds are not a regression. */
+const SLOW_ODDS_RATIO = 2;
+
+/** Answers of the old version from which its typical latency is known. */
+const MINIMUM_TIMED_ANSWERS = 3;
+
+/** Answers of the old version in the tested periods from which earlier ones are left out of the comparison. */
+const MINIMUM_CONCURRENT_ANSWERS = 20;
+
+/** Probability, before any evidence, that a fault concerns all routes and not a single one. */
+const ALL_ROUTES_WEIGHT = 0.5;
 
 /** Slowdown, as a difference of logarithms, up to which a latency is not a regression. */
 const LATENCY_MARGIN = Math.log(1.5);
@@ -34,9 +65,27 @@
 
 const NO_STRATUM: StratumCounters = { version: NO_COUNTERS, reference: NO_COUNTERS };
 
-/** Suffix of strata that count the pace of streams; the others count the time to the response head. */
+/** Suffix of strata that count the pace of streams; those without a suffix count the time to the head. */
 const PACE_SUFFIX = "\u0000pace";
 
+/** Suffixes of strata in which the errors are slow answers. */
+const SLOW_HEAD_SUFFIX = "\u0000slow";
+const SLOW_PACE_SUFFIX = "\u0000slow-pace";
+
+const SUFFIXES = [PACE_SUFFIX, SLOW_HEAD_SUFFIX, SLOW_PACE_SUFFIX];
+
+const PERIOD_SEPARATOR = "\u0000period ";
+
+/** Returns the stratum of a group's answers in a period of the shift. */
+export function stratumOf(group: string, period: number): string {
+    return `${group}${PERIOD_SEPARATOR}${period}`;
+}
+
+/** Answers of one group in one period. */
+interface PeriodCounters extends StratumCounters {
+    readonly period: number;
+}
+
 function countInStratum(
     table: EvidenceTable,
     stratum: string,
@@ -52,17 +101,60 @@
     };
 }
 
+/** Whether a latency is far above the typical one of the old version; `undefined` while that is unknown. */
+function isSlow(typical: Counters | undefined, milliseconds: number | undefined): boolean | undefined {
+    if (milliseconds === undefined || typical === undefined) {
+        return undefined;
+    }
+    const { count, sum } = typical.logLatency;
+    return count < MINIMUM_TIMED_ANSWERS
+        ? undefined
+        : Math.log1p(milliseconds) > sum / count + Math.log(SLOW_RATIO);
+}
+
+function countSlowness(
+    table: EvidenceTable,
+    key: string,
+    isNew: boolean,
+    typical: Counters | undefined,
+    milliseconds: number | undefined,
+): EvidenceTable {
+    const slow = isSlow(typical, milliseconds);
+    return slow === undefined ? table : countInStratum(table, key, isNew, !slow, undefined);
+}
+
+/**
+ * Adds the outcome of an attempt. Of an unanswered one only its slowness counts.
+ *
+ * @param group Answers that are compared with each other: one route and model.
+ * @param timing Of an unanswered attempt, the time to the head is at least the time until it was given up.
+ */
 export function countEvidence(
     table: EvidenceTable,
-    stratum: string,
+    group: string,
+    period: number,
     isNew: boolean,
-    succeeded: boolean,
+    outcome: AnswerOutcome,
     { headMilliseconds, paceMilliseconds }: AttemptTiming,
 ): EvidenceTable {
-    const counted = countInStratum(table, stratum, isNew, succeeded, headMilliseconds);
-    return paceMilliseconds === undefined
-        ? counted
-        : countInStratum(counted, stratum + PACE_SUFFIX, isNew, true, paceMilliseconds);
+    const stratum = stratumOf(group, period);
+    const typicalOf = (suffix: string): Counters | undefined =>
+        Array.from({ length: period + 1 }, (_, index) => table[stratumOf(group, index) + suffix]?.reference)
+            .filter(reference => reference !== undefined)
+            .reduce<Counters | undefined>(
+                (sum, reference) => (sum === undefined ? reference : addCounters(sum, reference)),
+                undefined,
+            );
+    let counted = countSlowness(table, stratum + SLOW_HEAD_SUFFIX, isNew, typicalOf(""), headMilliseconds);
+    if (outcome !== "unanswered") {
+        counted = countInStratum(counted, stratum, isNew, outcome === "succeeded", headMilliseconds);
+    }
+    if (paceMilliseconds === undefined) {
+        return counted;
+    }
+    const typicalPace = typicalOf(PACE_SUFFIX);
+    counted = countSlowness(counted, stratum + SLOW_PACE_SUFFIX, isNew, typicalPace, paceMilliseconds);
+    return countInStratum(counted, stratum + PACE_SUFFIX, isNew, true, paceMilliseconds);
 }
 
 export function mergeEvidence(tables: readonly EvidenceTable[]): EvidenceTable {
@@ -136,21 +228,82 @@
         : logRatioOfLoss(latency.difference - LATENCY_MARGIN, latency.variance, LATENCY_SCALE);
 }
 
+/** Strata of one kind, by group. `suffix` is empty for those that count answers and the time to the head. */
+function groupsOf(table: EvidenceTable, suffix: string): readonly (readonly PeriodCounters[])[] {
+    const groups = new Map<string, PeriodCounters[]>();
+    for (const [key, counters] of Object.entries(table)) {
+        const found = SUFFIXES.find(candidate => key.endsWith(candidate)) ?? "";
+        if (found !== suffix) {
+            continue;
+        }
+        const [group, period] = key.slice(0, key.length - suffix.length).split(PERIOD_SEPARATOR);
+        const periods = groups.get(group!) ?? [];
+        groups.set(group!, [...periods, { ...counters, period: Number(period ?? 0) }]);
+    }
+    return [...groups.values()];
+}
+
+/** Log ratio of a group's answers from a period on, compared with the old version's at the same time. */
+function logRatioFrom(group: readonly PeriodCounters[], firstPeriod: number, oddsRatio: number): number {
+    const tested = group.filter(({ period }) => period >= firstPeriod);
+    const sum = (counters: readonly Counters[]): Counters => counters.reduce(addCounters, NO_COUNTERS);
+    const { errors: failures, answers } = sum(tested.map(({ version }) => version));
+    const concurrent = sum(tested.map(({ reference }) => reference));
+    const reference =
+        concurrent.answers >= MINIMUM_CONCURRENT_ANSWERS
+            ? concurrent
+            : sum(group.map(counters => counters.reference));
+    return logRatioOfProportions(
+        {
+            failures,
+            answers,
+            referenceFailures: reference.errors,
+            referenceAnswers: reference.answers,
+        },
+        oddsRatio,
+    );
+}
+
+/** Log ratio of a fault that concerns a group with probability 0.5. */
+function halved(logRatio: number): number {
+    return logMeanExp([0, logRatio]);
+}
+
+/** Log ratio of "answers fail more often", averaged over the periods and routes that a fault may concern. */
+function logRatioOfFaults(groups: readonly (readonly PeriodCounters[])[], oddsRatio: number): number {
+    const tested = groups.filter(group => group.some(({ version }) => version.answers > 0));
+    if (tested.length === 0) {
+        return 0;
+    }
+    const periods = [...new Set(tested.flatMap(group => group.map(({ period }) => period)))];
+    const byPeriod = periods.map(period => tested.map(group => logRatioFrom(group, period, oddsRatio)));
+    const all = logMeanExp(byPeriod.map(ratios => ratios.reduce((sum, ratio) => sum + halved(ratio), 0)));
+    const single = logMeanExp(byPeriod.flat());
+    return logMeanExp([
+        all + Math.log(2 * ALL_ROUTES_WEIGHT),
+        single + Math.log(2 * (1 - ALL_ROUTES_WEIGHT)),
+    ]);
+}
+
 /**
  * @param tables Number of tables tested in parallel. Raises the threshold, as each could raise a false alarm.
  */
 export function assessEvidence(table: EvidenceTable, tables = 1): EvidenceAssessment {
-    const entries = Object.entries(table);
-    const headStrata = entries.filter(([key]) => !key.endsWith(PACE_SUFFIX)).map(([, stratum]) => stratum);
-    const paceStrata = entries.filter(([key]) => key.endsWith(PACE_SUFFIX)).map(([, stratum]) => stratum);
+    const answers = groupsOf(table, "");
+    const headStrata = answers.flat();
     const total = headStrata.reduce((sum, { version }) => addCounters(sum, version), NO_COUNTERS);
     const referenceTotal = headStrata.reduce(
         (sum, { reference }) => addCounters(sum, reference),
         NO_COUNTERS,
     );
     const alarmLogRatio = ALARM_LOG_RATIO + Math.log(tables);
-    const errorLogRatio = logRatioOfErrors(headStrata, ERROR_MARGIN_RATIO);
-    const latencyLogRatio = Math.max(latencyLogRatioOf(headStrata), latencyLogRatioOf(paceStrata));
+    const errorLogRatio = logRatioOfFaults(answers, ERROR_ODDS_RATIO);
+    const latencyLogRatio = Math.max(
+        latencyLogRatioOf(headStrata),
+        latencyLogRatioOf(groupsOf(table, PACE_SUFFIX).flat()),
+        logRatioOfFaults(groupsOf(table, SLOW_HEAD_SUFFIX), SLOW_ODDS_RATIO),
+        logRatioOfFaults(groupsOf(table, SLOW_PACE_SUFFIX), SLOW_ODDS_RATIO),
+    );
     const hasErrorRegression = total.errors >= MINIMUM_ERRORS && errorLogRatio >= alarmLogRatio;
     return {
         isRegression: hasErrorRegression || latencyLogRatio >= alarmLogRatio,
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -118,6 +118,15 @@
     return settings.canaryShare + (1 - settings.canaryShare) * Math.min(1, Math.max(0, ramp));
 }
 
+/** Number of periods of equal length in which the answers of a shift are counted. */
+const EVIDENCE_PERIODS = 4;
+
+/** Period of the shift at a time on the store's clock, from 0 on. */
+export function evidencePeriod(order: ShiftOrder, state: ShiftState, storeTime: number | undefined): number {
+    const progress = ((storeTime ?? state.startedAt) - state.startedAt) / order.durationMilliseconds;
+    return Math.min(EVIDENCE_PERIODS - 1, Math.max(0, Math.floor(progress * EVIDENCE_PERIODS)));
+}
+
 export interface VersionRule {
     /** Whether requests may go to a version. */
     readonly isAllowed: (version: string) => boolean;
