Bound the exposure of a shift by its schedule, and settle doubt before it ends

What callers saw: bad versions got 0.36 to 0.69 of all requests in the time of a roll-out, allowed 0.15 and 30 requests; most were completed, after which nothing can be undone.

Cause: the share of the canary kept the bound by itself, the stages after it only if the test fired within two seconds: from 0.5 of the time on the version got more, from 0.65 all requests. What was not proved bad counted as good: eight answers began the full stage, and time alone ended it.

A version in doubt (likelihood ratio 3) gets no more requests, and is rolled back when no time is left. One good answer suffices for completion where few requests come. During the full stage 16 nodes report all they see, not only nodes with errors.

What is left breaks the second bound: a version is completed on too few answers.

--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -40,7 +40,7 @@
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
 import { createShiftCoordinator } from "../shifts/shift-coordinator.js";
-import { resolveShiftSettings } from "../shifts/shift-settings.js";
+import { resolveShiftSettings } from "../shifts/exposure-plan.js";
 import { createHttpSend } from "../upstreams/send.js";
 import type { PlatformAdapter } from "./adapter.js";
 import { createNodeList } from "./node-list.js";
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -24,6 +24,7 @@
     fullAt: 0.55,
     fullBy: 0.7,
     completeAt: 0.8,
+    decideAt: 0.9,
 };
 const order: ShiftOrder = { service: "engines", version: "v2", durationMilliseconds: 20_000, revision: 9 };
 const canary: ShiftState = { orderRevision: 9, version: "v2", stage: "canary", startedAt: 1000 };
@@ -129,15 +130,32 @@
 });
 
 test("stages advance by time and evidence, and a regression rolls back", () => {
-    const healthy = { isRegression: false, answers: 50 };
+    const healthy = { isRegression: false, isDoubtful: false, answers: 50 };
+    const few = { ...healthy, answers: 2 };
+    const full: ShiftState = { ...canary, stage: "full" };
     assert.equal(nextStage(order, canary, healthy, 5000, settings), undefined);
     assert.equal(nextStage(order, canary, healthy, 13_000, settings), "full");
-    assert.equal(nextStage(order, canary, { isRegression: false, answers: 2 }, 13_000, settings), undefined);
-    assert.equal(nextStage(order, { ...canary, stage: "full" }, healthy, 18_000, settings), "completed");
-    assert.equal(nextStage(order, canary, { isRegression: true, answers: 9 }, 2000, settings), "rolled-back");
+    assert.equal(nextStage(order, canary, few, 13_000, settings), undefined);
+    assert.equal(nextStage(order, full, healthy, 18_000, settings), "completed");
+    assert.equal(nextStage(order, canary, { ...few, isRegression: true }, 2000, settings), "rolled-back");
     assert.equal(nextStage(order, { ...canary, stage: "rolled-back" }, healthy, 18_000, settings), undefined);
 });
 
+test("a version in doubt gets no further requests, and is rolled back when its time ends", () => {
+    const doubtful = { isRegression: false, isDoubtful: true, answers: 50 };
+    const full: ShiftState = { ...canary, stage: "full" };
+    assert.equal(nextStage(order, canary, doubtful, 13_000, settings), undefined);
+    assert.equal(nextStage(order, full, doubtful, 17_500, settings), undefined);
+    assert.equal(nextStage(order, full, doubtful, 19_500, settings), "rolled-back");
+    assert.equal(nextStage(order, canary, doubtful, 19_500, settings), "rolled-back");
+});
+
+test("a good version of a service with few requests is completed, one without answers is not", () => {
+    const good = { isRegression: false, isDoubtful: false, answers: 1 };
+    assert.equal(nextStage(order, canary, good, 17_500, settings), "completed");
+    assert.equal(nextStage(order, canary, { ...good, answers: 0 }, 17_500, settings), undefined);
+});
+
 test("a version that fails half of its answers shows a regression after 16 answers", () => {
     assert.equal(assessEvidence(buildEvidence(8, 16, 1, 150)).isRegression, true);
 });
--- a/src/node/shifts/__tests__/simulated-shift.ts
+++ b/src/node/shifts/__tests__/simulated-shift.ts
@@ -3,7 +3,7 @@
 import { createSeededRandom } from "../../common/random.js";
 import type { Random } from "../../common/random.js";
 import type { ShiftOrder } from "../shift.js";
-import { resolveShiftSettings } from "../shift-settings.js";
+import { resolveShiftSettings } from "../exposure-plan.js";
 import { advanceTime, createShiftNodes } from "./shift-nodes.js";
 
 export interface SimulatedRoute {
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -110,6 +110,9 @@
     "rolled-back": "The new version is bad; going back.",
 };
 
+/** Number of nodes that report all their evidence during the full stage. */
+const FULL_REPORTERS = 16;
+
 interface TrackedShift {
     order: ShiftOrder;
     readonly detectedAt: number;
@@ -354,6 +357,8 @@
         return mergeEvidence([shift.evidence, others]);
     };
 
+    const isFullReporter = (): boolean => finalReportPosition * options.nodeCount() < FULL_REPORTERS;
+
     const reportEvidence = (shift: TrackedShift, progress: number, mergedAnswers: number): void => {
         const { answers, referenceAnswers, errors, latencyLogRatio } = assessEvidence(shift.evidence);
         const allAnswers = answers + referenceAnswers;
@@ -365,8 +370,11 @@
             answers > 0 &&
             mergedAnswers < SUFFICIENT_ANSWERS &&
             progress >= settings.fullAt * finalShare;
-        const isDue = clock.now() - shift.reportedAt >= EVIDENCE_INTERVAL_MILLISECONDS;
-        if (!isDue || !(hasNewErrors || isConfirming || isFinalReport)) {
+        // All callers are about to depend on the version, and reports of nodes with errors alone are biased.
+        const isFullReport =
+            shift.state?.stage === "full" && isFullReporter() && allAnswers > shift.reportedAnswers;
+        const isDue = isFullReport || clock.now() - shift.reportedAt >= EVIDENCE_INTERVAL_MILLISECONDS;
+        if (!isDue || !(hasNewErrors || isConfirming || isFinalReport || isFullReport)) {
             return;
         }
         const row: EvidenceRow = {
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -60,6 +60,9 @@
  */
 const ALARM_LOG_RATIO = Math.log(1000);
 
+/** Logarithm of the likelihood ratio from which a version is not trusted with all requests. */
+const DOUBTFUL_LOG_RATIO = Math.log(3);
+
 /** Errors of the new version below which its error rate is not tested. */
 const MINIMUM_ERRORS = 3;
 
@@ -209,6 +212,7 @@
 
 export interface EvidenceAssessment {
     readonly isRegression: boolean;
+    readonly isDoubtful: boolean;
     readonly answers: number;
     readonly errors: number;
     /** Answers of the old version. */
@@ -307,6 +311,7 @@
     const hasErrorRegression = total.errors >= MINIMUM_ERRORS && errorLogRatio >= alarmLogRatio;
     return {
         isRegression: hasErrorRegression || latencyLogRatio >= alarmLogRatio,
+        isDoubtful: Math.max(errorLogRatio, latencyLogRatio) >= DOUBTFUL_LOG_RATIO,
         answers: total.answers,
         errors: total.errors,
         referenceAnswers: referenceTotal.answers,
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -45,8 +45,10 @@
     readonly fullAt: number;
     /** Share of the duration after which the new version gets all sessions. */
     readonly fullBy: number;
-    /** Share of the duration after which the shift is completed. */
+    /** Share of the duration after which the shift is completed, unless its evidence is in doubt. */
     readonly completeAt: number;
+    /** Share of the duration after which a shift in doubt is rolled back. */
+    readonly decideAt: number;
 }
 
 const STAGE_ORDER: readonly ShiftStage[] = ["canary", "full", "completed", "rolled-back"];
@@ -184,6 +186,8 @@
 
 export interface ShiftEvidence {
     readonly isRegression: boolean;
+    /** A regression is more likely than not, but not certain. */
+    readonly isDoubtful: boolean;
     /** Counted answers of the new version. */
     readonly answers: number;
 }
@@ -191,7 +195,10 @@
 /** Answers of the new version that are required for the full stage. */
 export const MINIMUM_ANSWERS = 8;
 
-/** Returns the next stage, or `undefined` when the shift stays in its stage. */
+/**
+ * Returns the next stage, or `undefined` when the shift stays in its stage. A completed shift cannot be undone,
+ * so a version in doubt waits for more evidence, and is rolled back when there is no time for more.
+ */
 export function nextStage(
     order: ShiftOrder,
     state: ShiftState,
@@ -202,12 +209,16 @@
     if (state.stage === "completed" || state.stage === "rolled-back") {
         return undefined;
     }
-    if (evidence.isRegression) {
+    const progress = (storeTime - state.startedAt) / order.durationMilliseconds;
+    if (evidence.isRegression || (evidence.isDoubtful && progress >= settings.decideAt)) {
         return "rolled-back";
     }
-    const progress = (storeTime - state.startedAt) / order.durationMilliseconds;
-    if (state.stage === "canary" && progress >= settings.fullAt && evidence.answers >= MINIMUM_ANSWERS) {
-        return "full";
+    if (evidence.isDoubtful || evidence.answers === 0) {
+        return undefined;
+    }
+    if (progress >= settings.completeAt) {
+        return "completed";
     }
-    return state.stage === "full" && progress >= settings.completeAt ? "completed" : undefined;
+    const mayIncrease = progress >= settings.fullAt && evidence.answers >= MINIMUM_ANSWERS;
+    return state.stage === "canary" && mayIncrease ? "full" : undefined;
 }
