--- a/src/node/forwarding/__tests__/forwarder-fixture.ts
+++ b/src/node/forwarding/__tests__/forwarder-fixture.ts
@@ -203,8 +203,8 @@
         codec,
         send: createHttpSend(lifecycle),
         upstreamsOf: () => upstreams,
-        versionFilterOf: () => undefined,
-        recordSession: () => undefined,
+        versionPreferenceOf: () => undefined,
+        recordSend: () => undefined,
         retryBudget: {
             recordRequest: () => undefined,
             tryConsume: () => true,
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -13,7 +13,7 @@
 import type { Route, Service, Workspace } from "../routes/entities.js";
 import type { LoadBoard } from "../upstream-table/load-board.js";
 import { chooseUpstream } from "../upstream-table/upstream-choice.js";
-import type { Choice } from "../upstream-table/upstream-choice.js";
+import type { Choice, VersionPreference } from "../upstream-table/upstream-choice.js";
 import type { UpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { recordSend } from "../upstream-table/upstream-table.js";
 import type { RegisteredUpstream } from "../upstream-table/upstream-table.js";
@@ -59,6 +59,12 @@
     readonly callerLeft: AbortSignal;
 }
 
+/** Session of a request; a request without one has a key of its own. */
+export interface RequestSession {
+    readonly key: string;
+    readonly isSession: boolean;
+}
+
 /** Hands requests to other nodes while this one has no path to the upstreams. */
 export interface Handover {
     /** Whether this node has no path to the upstreams. */
@@ -75,13 +81,18 @@
     readonly send: UpstreamSend;
     /** Upstreams that can receive requests of the service now. */
     readonly upstreamsOf: (service: string) => readonly RegisteredUpstream[];
-    /** Filter for the versions that should serve a session of the service; `undefined` for all versions. */
-    readonly versionFilterOf: (
+    /**
+     * Versions that should serve a request of the service; `undefined` when all versions are equal.
+     *
+     * @param failedVersions Versions on which an attempt of the request has failed.
+     */
+    readonly versionPreferenceOf: (
         service: string,
-        sessionKey: string,
-    ) => ((version: string) => boolean) | undefined;
-    /** Records the version that serves a session. */
-    readonly recordSession: (sessionKey: string, upstream: RegisteredUpstream) => void;
+        session: RequestSession,
+        failedVersions: ReadonlySet<string>,
+    ) => VersionPreference | undefined;
+    /** Records that a request was sent to an upstream. */
+    readonly recordSend: (session: RequestSession, upstream: RegisteredUpstream) => void;
     readonly retryBudget: ServiceRetryBudget;
     readonly loads: LoadBoard;
     readonly latencies: LatencyReference;
@@ -190,7 +201,7 @@
         const { head, route, service, trace } = request;
         const callerMilliseconds = head.remainingMilliseconds ?? Infinity;
         const deadline = request.arrivedAt + Math.min(callerMilliseconds, route.timeoutMilliseconds);
-        const sessionKey = sessionKeyOf(head);
+        const session = { key: sessionKeyOf(head), isSession: head.session !== undefined };
         const fingerprint = fingerprintOf({
             method: request.method,
             host: request.headers.host ?? "",
@@ -202,6 +213,7 @@
         const sharedParts = sharedPartsOf(head.promptParts);
         const suspects = [...requestSuspects, ...sharedParts];
         const excluded = new Set<string>();
+        const failedVersions = new Set<string>();
         const routerChoosesModel = head.allowsModelChoice && route.models.length > 0;
         let model = routerChoosesModel ? firstModel(route.models) : undefined;
         let executions = 0;
@@ -241,7 +253,7 @@
                 capacityTokens: service.engineTokens,
                 loadOf: upstream => options.loads.total(upstream.entry.id, clock.now()),
                 ejectionsOf: upstream => options.loads.ejections(upstream.entry.id, clock.now()),
-                prefersVersion: options.versionFilterOf(service.name, sessionKey),
+                versionPreference: options.versionPreferenceOf(service.name, session, failedVersions),
                 excluded,
                 coldAllowance: upstream => options.coldAllowance(service, upstream),
                 hasRoom: upstream => options.limits.hasRoom(upstream.process, clock.now()),
@@ -306,9 +318,7 @@
                 head.promptTokens * relativeCost(service, usedModel),
                 head.promptTokens + expectedOutputTokens(head),
             );
-            if (head.session !== undefined) {
-                options.recordSession(sessionKey, upstream);
-            }
+            options.recordSend(session, upstream);
             recordSend(upstream, sentAt);
             options.limits.consume(process, sentAt);
             trace.add("attempts", "Sent the request to an upstream.", {
@@ -475,6 +485,7 @@
                 case "failed":
                 case "lost":
                     excluded.add(upstream.entry.id);
+                    failedVersions.add(upstream.entry.version);
                     upstream.health.recordFailure(now);
                     if (result.kind === "lost") {
                         options.recordUnanswered(upstream);
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -208,10 +208,15 @@
         clockOffset: () => sync.clockOffset(),
         nodeCount: () => nodes.count(),
         encodeReport: (order, stage) => adapter.encodeShiftReport(order, stage),
-        settings: resolveShiftSettings({
-            sessionMilliseconds: config.sessions.idleSeconds * 1000,
-            exposureShare: config.shifts.exposureShare,
-        }),
+        settings: durationMilliseconds =>
+            resolveShiftSettings(
+                {
+                    sessionMilliseconds: config.sessions.idleSeconds * 1000,
+                    exposureShare: config.shifts.exposureShare,
+                    exposureRequests: config.shifts.exposureRequests,
+                },
+                durationMilliseconds,
+            ),
         clock,
         lifecycle,
         logger: createLogger("shifts"),
@@ -307,17 +312,17 @@
                     ({ entry }) => !operators.isEvacuated(entry.dataCentre) && rule.isAllowed(entry.version),
                 );
         },
-        versionFilterOf: (service, sessionKey) => {
-            const { prefersNew, newVersion } = shifts.rule(service);
-            if (prefersNew === undefined) {
-                return undefined;
+        versionPreferenceOf: (service, { key, isSession }, failedVersions) =>
+            shifts.preference(
+                service,
+                { key, isSession, lastVersion: isSession ? sessions.recent(key, clock.now()) : undefined },
+                failedVersions,
+            ),
+        recordSend: ({ key, isSession }, { entry }) => {
+            if (isSession) {
+                sessions.record(key, entry.version, clock.now());
             }
-            const isNew = prefersNew(sessionKey, sessions.recent(sessionKey, clock.now()));
-            return version => (version === newVersion) === isNew;
-        },
-        recordSession: (sessionKey, upstream) => {
-            sessions.record(sessionKey, upstream.entry.version, clock.now());
-            shifts.recordSession(upstream.entry.service, sessionKey);
+            shifts.recordSend(entry.service, entry.version, isSession ? key : undefined);
         },
         retryBudget: createServiceRetryBudget({
             ratio: config.retries.ratio * USED_RETRY_RATIO_SHARE,
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -97,6 +97,8 @@
         z.strictObject({
             /** Maximum share of requests that may run on a faulty new version. */
             exposureShare: z._default(share, 0.1),
+            /** Requests that may run on a faulty new version in addition to the share, over all nodes. */
+            exposureRequests: z._default(nonNegative, 0),
         }),
         {},
     ),
--- a/src/node/shifts/__tests__/shift-nodes.ts
+++ b/src/node/shifts/__tests__/shift-nodes.ts
@@ -50,7 +50,7 @@
             clockOffset: () => 0,
             nodeCount: () => names.length,
             encodeReport: (_order, stage) => ({ table: "reports", key: "shift", value: stage }),
-            settings,
+            settings: () => settings,
             clock: { now: Date.now, wallTime: Date.now },
             lifecycle,
             logger: silentLogging("shifts"),
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -3,8 +3,9 @@
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { createSeededRandom } from "../../common/random.js";
-import { nextStage, versionRule } from "../shift.js";
-import type { ShiftOrder, ShiftState } from "../shift.js";
+import { planCanaryShare, resolveShiftSettings } from "../exposure-plan.js";
+import { nextStage, versionPreference, versionRule } from "../shift.js";
+import type { ShiftOrder, ShiftState, ShiftedRequest } from "../shift.js";
 import {
     assessEvidence,
     countEvidence,
@@ -21,6 +22,7 @@
     sessionMilliseconds: 1000,
     collectShare: 0.25,
     canaryShare: 0.1,
+    canaryRequests: 0,
     fullAt: 0.55,
     fullBy: 0.7,
     completeAt: 0.8,
@@ -32,7 +34,11 @@
  * A session is collected if it sends a request during the collection period. It then stays on the old version
  * during the canary stage.
  */
-const view = { storeTime: 5000, isCollected: () => false };
+const view = { storeTime: 5000, isCollected: () => false, singleShare: 0 };
+
+function session(key: string, lastVersion?: string): ShiftedRequest {
+    return { key, isSession: true, lastVersion };
+}
 
 /**
  * @param headMilliseconds Time to the response headers.
@@ -74,7 +80,7 @@
 
 test("a canary gets a fixed share of new sessions", () => {
     const { prefersNew } = versionRule(order, canary, view, settings);
-    const share = Array.from({ length: 5000 }, (_, index) => prefersNew!(`s${index}`, undefined)).filter(
+    const share = Array.from({ length: 5000 }, (_, index) => prefersNew!(session(`s${index}`))).filter(
         Boolean,
     );
     assert.ok(share.length > 350 && share.length < 650, `${share.length} of 5000`);
@@ -83,8 +89,8 @@
 test("a session keeps its version during the canary", () => {
     const { prefersNew } = versionRule(order, canary, view, settings);
     for (let index = 0; index < 100; index++) {
-        assert.equal(prefersNew!(`s${index}`, "v1"), false);
-        assert.equal(prefersNew!(`s${index}`, "v2"), true);
+        assert.equal(prefersNew!(session(`s${index}`, "v1")), false);
+        assert.equal(prefersNew!(session(`s${index}`, "v2")), true);
     }
 });
 
@@ -92,10 +98,10 @@
     const during = versionRule(order, canary, { ...view, storeTime: 1900 }, settings);
     const after = versionRule(order, canary, { ...view, isCollected: key => key === "s1" }, settings);
     for (let index = 0; index < 100; index++) {
-        assert.equal(during.prefersNew!(`s${index}`, undefined), false);
+        assert.equal(during.prefersNew!(session(`s${index}`)), false);
     }
-    assert.equal(after.prefersNew!("s1", undefined), false);
-    assert.equal(after.prefersNew!("s1", "v2"), false);
+    assert.equal(after.prefersNew!(session("s1")), false);
+    assert.equal(after.prefersNew!(session("s1", "v2")), false);
 });
 
 // The new upstreams must not get all sessions at once: they have no cached prompts yet.
@@ -105,7 +111,7 @@
     const onNew = (progress: number): readonly string[] => {
         const storeTime = full.startedAt + progress * order.durationMilliseconds;
         const { prefersNew } = versionRule(order, full, { ...view, storeTime }, settings);
-        return sessions.filter(session => prefersNew!(session, undefined));
+        return sessions.filter(key => prefersNew!(session(key)));
     };
     const steps = [0.55, 0.6, 0.65, 0.7].map(onNew);
     const counts = steps.map(step => step.length / sessions.length);
@@ -294,18 +300,71 @@
     await lifecycle.stop();
 });
 
+test("requests without a session run on the new version from the start of the canary", () => {
+    const during = { ...view, storeTime: 1100, singleShare: 0.2 };
+    const { prefersNew } = versionRule(order, canary, during, settings);
+    const onNew = Array.from({ length: 2000 }, (_, index) =>
+        prefersNew!({ key: `r${index}`, isSession: false, lastVersion: undefined }),
+    ).filter(Boolean);
+    assert.ok(onNew.length > 320 && onNew.length < 480, `${onNew.length} of 2000`);
+});
+
+test("a request that failed on the new version is retried on the old one", () => {
+    const rule = versionRule(order, canary, { ...view, singleShare: 1 }, settings);
+    const request = { key: "r1", isSession: false, lastVersion: undefined };
+    assert.equal(versionPreference(rule, request, new Set())?.matches("v2"), true);
+    const retry = versionPreference(rule, request, new Set(["v2"]));
+    assert.equal(retry?.matches("v2"), false);
+    assert.equal(retry?.matches("v1"), true);
+});
+
+test("requests do not overflow to the new version once the canary's share is spent", () => {
+    const preferenceAt = (singleShare: number) =>
+        versionPreference(
+            versionRule(order, canary, { ...view, singleShare }, settings),
+            session("s1", "v1"),
+            new Set(),
+        );
+    assert.equal(preferenceAt(0)?.allowsOthers, false);
+    assert.equal(preferenceAt(0.1)?.allowsOthers, true);
+});
+
+test("the canary share spends what is left of the bounds, and nothing more", () => {
+    const bounds = { ...settings, canaryShare: 0.1, fullAt: 0.5, canaryRequests: 20 };
+    // 100 attempts in a quarter of the time: 400 in all, of which 20 and a quarter of 20 more may be new.
+    assert.equal(planCanaryShare(0.25, { attempts: 100, newAttempts: 0 }, 4, bounds), 25 / 100);
+    assert.equal(planCanaryShare(0.25, { attempts: 100, newAttempts: 20 }, 4, bounds), 5 / 100);
+    assert.equal(planCanaryShare(0.25, { attempts: 100, newAttempts: 30 }, 4, bounds), 0);
+    assert.equal(planCanaryShare(0.25, { attempts: 2, newAttempts: 0 }, 4, bounds), 0.5);
+    assert.equal(planCanaryShare(0.01, { attempts: 100, newAttempts: 30 }, 4, bounds), 0.1);
+});
+
+test("the schedule keeps the bound if a fault is never found", () => {
+    for (const exposureShare of [0.01, 0.05, 0.1, 0.15, 0.3, 1]) {
+        for (const duration of [5000, 16_000, 24_000, 3_600_000]) {
+            const bounds = { exposureShare, exposureRequests: 0, sessionMilliseconds: 5000 };
+            const schedule = resolveShiftSettings(bounds, duration);
+            const { canaryShare, fullAt, fullBy, completeAt, decideAt } = schedule;
+            const ramp = ((canaryShare + 1) / 2) * (fullBy - fullAt);
+            const exposure = canaryShare * fullAt + ramp + (1 - fullBy);
+            assert.ok(exposure <= exposureShare, `${exposure} of ${exposureShare} in ${duration} ms`);
+            assert.ok(fullAt < fullBy && fullBy < completeAt && completeAt < decideAt && decideAt < 1);
+        }
+    }
+});
+
 test("a session collected from requests to one node stays on the old version at the other", async context => {
     context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
     const { coordinators, lifecycle } = createNodes(["a", "b"]);
     await lifecycle.start();
     await advanceTime(context.mock.timers, 700);
     const keys = Array.from({ length: 200 }, (_, index) => `s${index}`);
-    keys.forEach(key => coordinators[0]!.recordSession("engines", key));
+    keys.forEach(key => coordinators[0]!.recordSend("engines", "v1", key));
     await advanceTime(context.mock.timers, 2000);
     const rule = coordinators[1]!.rule("engines");
-    assert.ok(keys.every(key => !rule.prefersNew!(key, undefined)));
+    assert.ok(keys.every(key => !rule.prefersNew!(session(key))));
     const others = Array.from({ length: 200 }, (_, index) => `t${index}`);
-    assert.ok(others.some(key => rule.prefersNew!(key, undefined)));
+    assert.ok(others.some(key => rule.prefersNew!(session(key))));
     await lifecycle.stop();
 });
 
@@ -465,13 +524,13 @@
     await lifecycle.start();
     await advanceTime(context.mock.timers, 700);
     const keys = Array.from({ length: 200 }, (_, index) => `s${index}`);
-    keys.forEach(key => coordinators[0]!.recordSession("engines", key));
+    keys.forEach(key => coordinators[0]!.recordSend("engines", "v1", key));
     setStoreUp(false);
     await advanceTime(context.mock.timers, 3000);
     setStoreUp(true);
     await advanceTime(context.mock.timers, 2000);
     const rule = coordinators[1]!.rule("engines");
-    assert.ok(keys.every(key => !rule.prefersNew!(key, undefined)));
+    assert.ok(keys.every(key => !rule.prefersNew!(session(key))));
     await lifecycle.stop();
 });
 
--- a/src/node/shifts/__tests__/simulated-shift.ts
+++ b/src/node/shifts/__tests__/simulated-shift.ts
@@ -50,6 +50,8 @@
 const BAD_ANSWERS = 50;
 const MEAN_WORK_MILLISECONDS = 86;
 const SLOWDOWN = 8;
+/** Upstreams of each version. */
+const UPSTREAMS = 4;
 
 export const EXPOSURE_SHARE = 0.15;
 export const EXPOSURE_REQUESTS = 30;
@@ -83,7 +85,14 @@
     context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
     const random = createSeededRandom(scenario.seed);
     const { fault, routes } = scenario;
-    const settings = resolveShiftSettings({ exposureShare: EXPOSURE_SHARE, sessionMilliseconds: 5000 });
+    const settings = resolveShiftSettings(
+        {
+            exposureShare: EXPOSURE_SHARE,
+            exposureRequests: EXPOSURE_REQUESTS,
+            sessionMilliseconds: 5000,
+        },
+        DURATION_MILLISECONDS,
+    );
     const names = Array.from({ length: scenario.nodes }, (_, index) => `n${index}`);
     const nodes = createShiftNodes(names, order, settings);
     await nodes.lifecycle.start();
@@ -95,7 +104,7 @@
     let newShare = 0;
     let requests = 0;
 
-    const isBad = (route: SimulatedRoute, elapsed: number): boolean => {
+    const isBad = (route: SimulatedRoute, elapsed: number, usedUpstreams: number): boolean => {
         if (fault === undefined || random() >= fault.share) {
             return false;
         }
@@ -105,7 +114,7 @@
             case "late":
                 return elapsed >= (fault.startsAt ?? 0);
             case "under load":
-                return random() < newShare;
+                return random() < (newShare * UPSTREAMS) / usedUpstreams;
             default:
                 return true;
         }
@@ -117,11 +126,15 @@
         const fails = random() < route.errorShare;
         requests += 1;
         const key = `r${requests}`;
+        const failedVersions = new Set<string>();
         for (let attempt = 1; ; attempt++) {
-            const { isAllowed, prefersNew } = coordinator.rule("app");
-            const isNew = prefersNew?.(key, undefined) ?? isAllowed("v2");
+            const request = { key, isSession: false, lastVersion: undefined };
+            const preference = coordinator.preference("app", request, failedVersions);
+            const isNew = preference?.matches("v2") ?? coordinator.rule("app").isAllowed("v2");
+            const used = Math.ceil((isNew ? (preference?.upstreamShare ?? 1) : 1) * UPSTREAMS);
+            coordinator.recordSend("app", isNew ? "v2" : "v1", undefined);
             const work = -Math.log(1 - random()) * MEAN_WORK_MILLISECONDS;
-            const bad = isNew && isBad(route, elapsed);
+            const bad = isNew && isBad(route, elapsed, used);
             const isSlow = bad && fault?.kind === "slow";
             const succeeded = !fails && (!bad || isSlow);
             if (isNew && lastBadAt !== undefined && elapsed > lastBadAt + ROLLBACK_MILLISECONDS) {
@@ -146,6 +159,7 @@
                     "process",
                 );
             }
+            failedVersions.add(isNew ? "v2" : "v1");
             if (succeeded || attempt >= route.attempts) {
                 return succeeded;
             }
--- a/src/node/shifts/exposure-plan.ts
+++ b/src/node/shifts/exposure-plan.ts
@@ -9,18 +9,26 @@
 import type { ShiftSettings } from "./shift.js";
 
 /** Used part of the bounds. The rest is a margin, because traffic varies during a shift. */
-const USED_SHARE = 0.9;
+const USED_SHARE = 0.92;
 
 /** Part of the used bound that is spent on the canary stage. */
-const CANARY_PART = 0.4;
+const CANARY_PART = 0.3;
 
-/** Maximum share of a shift's duration after the canary stage. */
-const MAXIMUM_FINAL_PART = 0.5;
+/** Time before the end of the duration at which a shift is completed, milliseconds. */
+const SETTLE_MILLISECONDS = 800;
 
-/** Parts of the time after the canary stage at which the ramp and the shift are completed, or given up when in doubt. */
+/** Part of that time after which a version that is still in doubt is given up. */
+const DOUBT_PART = 0.3;
+
+/** Part of the full stage in which the share of the sessions increases. */
 const RAMP_PART = 0.6;
-const COMPLETE_PART = 0.65;
-const DECIDE_PART = 0.85;
+
+/** Minimum and maximum length of the full stage, as shares of the duration. */
+const MINIMUM_FULL_PART = 0.02;
+const MAXIMUM_FULL_PART = 0.4;
+
+/** Maximum part of the duration after the completion. */
+const MAXIMUM_SETTLE_PART = 0.1;
 
 /** Maximum share of a shift's duration for collecting running sessions. */
 const COLLECT_SHARE = 0.25;
@@ -28,22 +36,70 @@
 export interface ShiftBounds {
     /** Maximum share of a service's requests that may run on a faulty new version. */
     readonly exposureShare: number;
+    /** Requests that may run on a faulty new version in addition to the share, over all nodes. */
+    readonly exposureRequests: number;
     /** Time without a request after which a session has ended, milliseconds. */
     readonly sessionMilliseconds: number;
 }
 
-export function resolveShiftSettings({ exposureShare, sessionMilliseconds }: ShiftBounds): ShiftSettings {
-    const usedShare = exposureShare * USED_SHARE;
+/** Derives the schedule of a shift from the bounds and its duration. */
+export function resolveShiftSettings(bounds: ShiftBounds, durationMilliseconds: number): ShiftSettings {
+    const usedShare = bounds.exposureShare * USED_SHARE;
+    const settlePart = Math.min(
+        MAXIMUM_SETTLE_PART,
+        usedShare / 2,
+        SETTLE_MILLISECONDS / durationMilliseconds,
+    );
     // The ramp counts half, the time after it in full.
-    const finalPart = Math.min(MAXIMUM_FINAL_PART, ((1 - CANARY_PART) * usedShare) / (1 - RAMP_PART / 2));
-    const fullAt = 1 - finalPart;
+    const fullPart = Math.min(
+        MAXIMUM_FULL_PART,
+        Math.max(MINIMUM_FULL_PART * bounds.exposureShare, (1 - CANARY_PART) * usedShare - settlePart) /
+            (1 - RAMP_PART / 2),
+    );
+    const completeAt = 1 - settlePart;
+    const fullAt = completeAt - fullPart;
     return {
-        sessionMilliseconds,
+        sessionMilliseconds: bounds.sessionMilliseconds,
         collectShare: COLLECT_SHARE,
         canaryShare: (CANARY_PART * usedShare) / fullAt,
+        canaryRequests: bounds.exposureRequests * USED_SHARE,
         fullAt,
-        fullBy: fullAt + RAMP_PART * finalPart,
-        completeAt: fullAt + COMPLETE_PART * finalPart,
-        decideAt: fullAt + DECIDE_PART * finalPart,
+        fullBy: fullAt + RAMP_PART * fullPart,
+        completeAt,
+        decideAt: completeAt + DOUBT_PART * settlePart,
     };
 }
+
+/** Attempts of one node at the upstreams of a service since the start of a shift. */
+export interface ShiftTraffic {
+    readonly attempts: number;
+    /** Attempts at the new version. */
+    readonly newAttempts: number;
+}
+
+/** Progress of a shift from which the traffic of its whole duration is estimated. */
+const MINIMUM_PROGRESS = 0.05;
+
+/** Maximum share of a node's requests during the canary stage. The others are the reference. */
+const MAXIMUM_CANARY_SHARE = 0.5;
+
+/**
+ * Returns the share of a node's requests without a session that run on the new version during the canary
+ * stage. It spends what is left of the node's part of the bounds evenly over the rest of the stage, so that
+ * services with few requests collect enough answers. 0 when nothing is left.
+ */
+export function planCanaryShare(
+    progress: number,
+    { attempts, newAttempts }: ShiftTraffic,
+    nodeCount: number,
+    settings: ShiftSettings,
+): number {
+    if (progress < MINIMUM_PROGRESS) {
+        return settings.canaryShare;
+    }
+    const expectedAttempts = Math.max(1, attempts) / progress;
+    const allowed =
+        settings.canaryShare * settings.fullAt * expectedAttempts + settings.canaryRequests / nodeCount;
+    const remaining = expectedAttempts * Math.max(MINIMUM_PROGRESS, settings.fullAt - progress);
+    return Math.min(MAXIMUM_CANARY_SHARE, Math.max(0, (allowed - newAttempts) / remaining));
+}
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -9,8 +9,12 @@
 import type { Logger } from "../logging/logging.js";
 import type { RowReplica } from "../replica/row-replica.js";
 import type { RowWrite, SharedStore } from "../replica/shared-store.js";
+import type { VersionPreference } from "../upstream-table/upstream-choice.js";
+import { planCanaryShare } from "./exposure-plan.js";
+import type { ShiftTraffic } from "./exposure-plan.js";
 import {
     MINIMUM_ANSWERS,
+    NO_RULE,
     evidencePeriod,
     isCanarySession,
     isCollecting,
@@ -18,9 +22,18 @@
     isStateOf,
     laterState,
     nextStage,
+    versionPreference,
     versionRule,
 } from "./shift.js";
-import type { ShiftOrder, ShiftSettings, ShiftStage, ShiftState, ShiftView, VersionRule } from "./shift.js";
+import type {
+    ShiftedRequest,
+    ShiftOrder,
+    ShiftSettings,
+    ShiftStage,
+    ShiftState,
+    ShiftView,
+    VersionRule,
+} from "./shift.js";
 import {
     assessEvidence,
     countEvidence,
@@ -32,8 +45,18 @@
 
 export interface ShiftCoordinator {
     rule(service: string): VersionRule;
-    /** Called when a request of a session is sent. Collects the session so that it keeps its version. */
-    recordSession(service: string, sessionKey: string): void;
+    /** Version that a request should run on; `undefined` when all versions are equal. */
+    preference(
+        service: string,
+        request: ShiftedRequest,
+        failedVersions: ReadonlySet<string>,
+    ): VersionPreference | undefined;
+    /**
+     * Called when a request is sent. Collects its session so that it keeps its version.
+     *
+     * @param sessionKey `undefined` for a request without a session.
+     */
+    recordSend(service: string, version: string, sessionKey: string | undefined): void;
     /**
      * Adds the outcome of an attempt to this node's evidence.
      *
@@ -61,7 +84,8 @@
     readonly nodeCount: () => number;
     /** Encodes the row that reports a shift's stage to the operators. */
     readonly encodeReport: (order: ShiftOrder, stage: ShiftStage) => RowWrite;
-    readonly settings: ShiftSettings;
+    /** Schedule of a shift of a duration, milliseconds. */
+    readonly settings: (durationMilliseconds: number) => ShiftSettings;
     readonly clock: Clock;
     readonly lifecycle: Lifecycle;
     readonly logger: Logger;
@@ -82,7 +106,7 @@
 const WRITE_RETRY_MILLISECONDS = 500;
 
 /** Logarithm of the likelihood ratio above which every node reports its evidence. */
-const SUSPICIOUS_LOG_RATIO = 0.5;
+const SUSPICIOUS_LOG_RATIO = 0;
 
 /**
  * Time for which the merged evidence must show a regression before a rollback, milliseconds: one report
@@ -120,10 +144,11 @@
     readonly sessions: Set<string>;
     hasReportedSessions: boolean;
     evidence: EvidenceTable;
+    traffic: ShiftTraffic;
     /** Processes whose last attempt at this node got no whole answer. */
     readonly silentProcesses: Set<string>;
-    /** Errors of the new version in the last report. */
-    reportedErrors: number;
+    /** Errors and slow answers of the new version in the last report. */
+    reportedBadAnswers: number;
     /** Answers of both versions in the last report. */
     reportedAnswers: number;
     /** Whether the final report, which nodes without errors also send, is in the store. */
@@ -154,8 +179,6 @@
 const SESSIONS_PREFIX = "sessions/";
 const EVIDENCE_PREFIX = "evidence/";
 
-const NO_VIEW: ShiftView = { storeTime: undefined, isCollected: () => false };
-
 function isOpen(stage: ShiftStage | undefined): boolean {
     return stage === "canary" || stage === "full";
 }
@@ -165,7 +188,8 @@
 }
 
 export function createShiftCoordinator(options: ShiftCoordinatorOptions): ShiftCoordinator {
-    const { replica, store, clock, logger, settings } = options;
+    const { replica, store, clock, logger } = options;
+    const settingsOf = (order: ShiftOrder): ShiftSettings => options.settings(order.durationMilliseconds);
     /** Position of this node, 0 to 1, in the order in which nodes without errors report. */
     const finalReportPosition = hashToUnit(`final\u0000${options.node}`);
     const shifts = new Map<string, TrackedShift>();
@@ -185,7 +209,7 @@
         shift.state = shift.state && { ...shift.state, orderRevision: order.revision };
         shift.hasReportedSessions = false;
         shift.hasReportedAnswers = false;
-        shift.reportedErrors = 0;
+        shift.reportedBadAnswers = 0;
         shift.reportedAnswers = 0;
         shift.nextWriteAt = clock.now() + firstWriteDelay(order.revision);
         reportedByService.delete(order.service);
@@ -207,8 +231,9 @@
             sessions: new Set(),
             hasReportedSessions: false,
             evidence: {},
+            traffic: { attempts: 0, newAttempts: 0 },
             silentProcesses: new Set(),
-            reportedErrors: 0,
+            reportedBadAnswers: 0,
             reportedAnswers: 0,
             isSuspicious: false,
             regressionSince: undefined,
@@ -303,6 +328,18 @@
         return offset === undefined ? undefined : clock.now() + offset;
     };
 
+    const singleShare = ({ state, order, traffic }: TrackedShift): number => {
+        const time = storeTime();
+        return state === undefined || time === undefined
+            ? 0
+            : planCanaryShare(
+                  (time - state.startedAt) / order.durationMilliseconds,
+                  traffic,
+                  options.nodeCount(),
+                  settingsOf(order),
+              );
+    };
+
     /** Cache of the sessions that all nodes collected, by service; cleared when the rows change. */
     const collectedByService = new Map<string, ReadonlySet<string>>();
     replica.onChange(changes => {
@@ -360,21 +397,24 @@
     const isFullReporter = (): boolean => finalReportPosition * options.nodeCount() < FULL_REPORTERS;
 
     const reportEvidence = (shift: TrackedShift, progress: number, mergedAnswers: number): void => {
-        const { answers, referenceAnswers, errors, latencyLogRatio } = assessEvidence(shift.evidence);
+        const { answers, referenceAnswers, errors, slowAnswers } = assessEvidence(shift.evidence);
+        const badAnswers = errors + slowAnswers;
         const allAnswers = answers + referenceAnswers;
-        const hasNewErrors = errors > shift.reportedErrors || latencyLogRatio > SUSPICIOUS_LOG_RATIO;
         const isConfirming = shift.isSuspicious && allAnswers > shift.reportedAnswers * REPORT_GROWTH_RATIO;
         const finalShare = FINAL_REPORT_SHARE + finalReportPosition * (1 - FINAL_REPORT_SHARE);
         const isFinalReport =
             !shift.hasReportedAnswers &&
             answers > 0 &&
             mergedAnswers < SUFFICIENT_ANSWERS &&
-            progress >= settings.fullAt * finalShare;
+            progress >= settingsOf(shift.order).fullAt * finalShare;
         // All callers are about to depend on the version, and reports of nodes with errors alone are biased.
         const isFullReport =
             shift.state?.stage === "full" && isFullReporter() && allAnswers > shift.reportedAnswers;
         const isDue = isFullReport || clock.now() - shift.reportedAt >= EVIDENCE_INTERVAL_MILLISECONDS;
-        if (!isDue || !(hasNewErrors || isConfirming || isFinalReport || isFullReport)) {
+        if (
+            !isDue ||
+            !(badAnswers > shift.reportedBadAnswers || isConfirming || isFinalReport || isFullReport)
+        ) {
             return;
         }
         const row: EvidenceRow = {
@@ -383,7 +423,7 @@
         };
         const key = evidenceKey(shift.order.service);
         write(shift, [{ table: "nodes", key, value: JSON.stringify(row) }], undefined, () => {
-            shift.reportedErrors = errors;
+            shift.reportedBadAnswers = badAnswers;
             shift.reportedAnswers = allAnswers;
             shift.hasReportedAnswers ||= isFinalReport;
         });
@@ -437,7 +477,7 @@
                 orderRevision: order.revision,
                 version: order.version,
                 stage: "canary",
-                startedAt: time,
+                startedAt: time - (clock.now() - shift.detectedAt),
             });
             return;
         }
@@ -450,14 +490,14 @@
             !shift.hasReportedSessions &&
             shift.sessions.size > 0 &&
             shift.state.stage === "canary" &&
-            !isCollecting(order, shift.state, time, settings)
+            !isCollecting(order, shift.state, time, settingsOf(order))
         ) {
             reportSessions(shift);
             return;
         }
         const progress = (time - shift.state.startedAt) / order.durationMilliseconds;
         const assessment = assess(shift);
-        const stage = nextStage(order, shift.state, assessment, time, settings);
+        const stage = nextStage(order, shift.state, assessment, time, settingsOf(order));
         if (stage !== undefined) {
             const level = stage === "rolled-back" ? "warn" : "info";
             logger[level](STAGE_MESSAGES[stage], {
@@ -482,6 +522,29 @@
         reportEvidence(shift, progress, assessment.answers);
     };
 
+    const ruleOf = (service: string): VersionRule => {
+        const order = options.orders().find(candidate => candidate.service === service);
+        if (order === undefined) {
+            return NO_RULE;
+        }
+        const stored = readStoredState(order);
+        const known = shifts.get(service);
+        const tracked = known !== undefined && isSameOrder(known.order, order) ? known : undefined;
+        const trackedState = tracked?.state;
+        const state =
+            stored !== undefined && trackedState !== undefined
+                ? laterState(stored, trackedState)
+                : (stored ?? trackedState);
+        const sessions = tracked?.sessions;
+        const view: ShiftView = {
+            storeTime: storeTime(),
+            isCollected: sessionKey =>
+                sessions?.has(sessionKey) === true || collectedSessions(order).has(sessionKey),
+            singleShare: tracked === undefined ? 0 : singleShare(tracked),
+        };
+        return versionRule(order, state, view, settingsOf(order));
+    };
+
     options.lifecycle.add({
         name: "shifts",
         start: () => {
@@ -493,33 +556,22 @@
     });
 
     return {
-        rule: service => {
-            const order = options.orders().find(candidate => candidate.service === service);
-            if (order === undefined) {
-                return versionRule(undefined, undefined, NO_VIEW, settings);
-            }
-            const stored = readStoredState(order);
-            const known = shifts.get(service);
-            const tracked = known !== undefined && isSameOrder(known.order, order) ? known : undefined;
-            const trackedState = tracked?.state;
-            const state =
-                stored !== undefined && trackedState !== undefined
-                    ? laterState(stored, trackedState)
-                    : (stored ?? trackedState);
-            const sessions = tracked?.sessions;
-            const view: ShiftView = {
-                storeTime: storeTime(),
-                isCollected: sessionKey =>
-                    sessions?.has(sessionKey) === true || collectedSessions(order).has(sessionKey),
-            };
-            return versionRule(order, state, view, settings);
-        },
-        recordSession: (service, sessionKey) => {
+        rule: ruleOf,
+        preference: (service, request, failedVersions) =>
+            versionPreference(ruleOf(service), request, failedVersions),
+        recordSend: (service, version, sessionKey) => {
             const shift = shifts.get(service);
+            if (shift !== undefined) {
+                shift.traffic = {
+                    attempts: shift.traffic.attempts + 1,
+                    newAttempts: shift.traffic.newAttempts + (version === shift.order.version ? 1 : 0),
+                };
+            }
             if (
+                sessionKey !== undefined &&
                 shift?.state?.stage === "canary" &&
-                isCollecting(shift.order, shift.state, storeTime(), settings) &&
-                isCanarySession(sessionKey, settings)
+                isCollecting(shift.order, shift.state, storeTime(), settingsOf(shift.order)) &&
+                isCanarySession(sessionKey, settingsOf(shift.order))
             ) {
                 shift.sessions.add(sessionKey);
             }
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -34,18 +34,27 @@
 /** Multiple of the old version's odds of an error up to which the odds are not a regression. */
 const ERROR_ODDS_RATIO = 1.6;
 
-/** Multiple of the typical latency of the old version above which an answer is slow. */
-const SLOW_RATIO = 4;
+/** Multiple of the typical latency of the old version up to which no answer is slow. */
+const MINIMUM_SLOW_RATIO = 2.5;
+
+/** Standard deviations of the old version's logarithmic latencies above their mean at which slow begins. */
+const SLOW_DEVIATIONS = 1.5;
 
 /** Multiple of the old version's odds of a slow answer up to which the odds are not a regression. */
-const SLOW_ODDS_RATIO = 2;
+const SLOW_ODDS_RATIO = 1.6;
 
 /** Answers of the old version from which its typical latency is known. */
-const MINIMUM_TIMED_ANSWERS = 3;
+const MINIMUM_TIMED_ANSWERS = 4;
 
 /** Answers of the old version in the tested periods from which earlier ones are left out of the comparison. */
 const MINIMUM_CONCURRENT_ANSWERS = 20;
 
+/** Answers of the new version from which the variance of their latency is known well enough to compare it. */
+const MINIMUM_COMPARED_ANSWERS = 10;
+
+/** Probability, before any evidence, that a fault shows from the first counted period on. */
+const FIRST_PERIOD_WEIGHT = 0.5;
+
 /** Probability, before any evidence, that a fault concerns all routes and not a single one. */
 const ALL_ROUTES_WEIGHT = 0.5;
 
@@ -56,12 +65,12 @@
 const LATENCY_SCALE = Math.log(3);
 
 /**
- * Logarithm of the likelihood ratio that shows a regression: one false alarm in 1,000 shifts with one table.
+ * Logarithm of the likelihood ratio that shows a regression: one false alarm in 100 shifts with one table.
  */
-const ALARM_LOG_RATIO = Math.log(1000);
+const ALARM_LOG_RATIO = Math.log(100);
 
-/** Logarithm of the likelihood ratio from which a version is not trusted with all requests. */
-const DOUBTFUL_LOG_RATIO = Math.log(3);
+/** Logarithm of the likelihood ratio above which a version is not trusted with all requests. */
+const DOUBTFUL_LOG_RATIO = 0;
 
 /** Errors of the new version below which its error rate is not tested. */
 const MINIMUM_ERRORS = 3;
@@ -109,10 +118,13 @@
     if (milliseconds === undefined || typical === undefined) {
         return undefined;
     }
-    const { count, sum } = typical.logLatency;
-    return count < MINIMUM_TIMED_ANSWERS
-        ? undefined
-        : Math.log1p(milliseconds) > sum / count + Math.log(SLOW_RATIO);
+    const { count, sum, sumOfSquares } = typical.logLatency;
+    if (count < MINIMUM_TIMED_ANSWERS) {
+        return undefined;
+    }
+    const deviation = Math.sqrt(Math.max(0, sumOfSquares - (sum * sum) / count) / (count - 1));
+    const margin = Math.max(Math.log(MINIMUM_SLOW_RATIO), SLOW_DEVIATIONS * deviation);
+    return Math.log1p(milliseconds) > sum / count + margin;
 }
 
 function countSlowness(
@@ -215,6 +227,8 @@
     readonly isDoubtful: boolean;
     readonly answers: number;
     readonly errors: number;
+    /** Answers of the new version with a slow head or pace. */
+    readonly slowAnswers: number;
     /** Answers of the old version. */
     readonly referenceAnswers: number;
     /** Errors of the old version. */
@@ -225,9 +239,18 @@
     readonly latencyLogRatio: number;
 }
 
-function latencyLogRatioOf(strata: readonly Stratum[]): number {
-    const latency = estimateDifference(strata, "logLatency");
-    return latency === undefined
+/** Sums the periods of a group: a variance within few answers would be unreliable. */
+function sumPeriods(group: readonly PeriodCounters[]): Stratum {
+    const sum = (counters: readonly Counters[]): Counters => counters.reduce(addCounters, NO_COUNTERS);
+    return {
+        version: sum(group.map(({ version }) => version)),
+        reference: sum(group.map(({ reference }) => reference)),
+    };
+}
+
+function latencyLogRatioOf(groups: readonly (readonly PeriodCounters[])[]): number {
+    const latency = estimateDifference(groups.map(sumPeriods), "logLatency");
+    return latency === undefined || latency.versionCount < MINIMUM_COMPARED_ANSWERS
         ? 0
         : logRatioOfLoss(latency.difference - LATENCY_MARGIN, latency.variance, LATENCY_SCALE);
 }
@@ -249,14 +272,12 @@
 
 /** Log ratio of a group's answers from a period on, compared with the old version's at the same time. */
 function logRatioFrom(group: readonly PeriodCounters[], firstPeriod: number, oddsRatio: number): number {
-    const tested = group.filter(({ period }) => period >= firstPeriod);
-    const sum = (counters: readonly Counters[]): Counters => counters.reduce(addCounters, NO_COUNTERS);
-    const { errors: failures, answers } = sum(tested.map(({ version }) => version));
-    const concurrent = sum(tested.map(({ reference }) => reference));
+    const tested = sumPeriods(group.filter(({ period }) => period >= firstPeriod));
+    const { errors: failures, answers } = tested.version;
     const reference =
-        concurrent.answers >= MINIMUM_CONCURRENT_ANSWERS
-            ? concurrent
-            : sum(group.map(counters => counters.reference));
+        tested.reference.answers >= MINIMUM_CONCURRENT_ANSWERS
+            ? tested.reference
+            : sumPeriods(group).reference;
     return logRatioOfProportions(
         {
             failures,
@@ -268,6 +289,11 @@
     );
 }
 
+/** Log ratio of one hypothesis with a probability, and another one with the rest. */
+function logMixture(weight: number, first: number, second: number): number {
+    return logMeanExp([first + Math.log(2 * weight), second + Math.log(2 * (1 - weight))]);
+}
+
 /** Log ratio of a fault that concerns a group with probability 0.5. */
 function halved(logRatio: number): number {
     return logMeanExp([0, logRatio]);
@@ -279,14 +305,16 @@
     if (tested.length === 0) {
         return 0;
     }
-    const periods = [...new Set(tested.flatMap(group => group.map(({ period }) => period)))];
-    const byPeriod = periods.map(period => tested.map(group => logRatioFrom(group, period, oddsRatio)));
-    const all = logMeanExp(byPeriod.map(ratios => ratios.reduce((sum, ratio) => sum + halved(ratio), 0)));
-    const single = logMeanExp(byPeriod.flat());
-    return logMeanExp([
-        all + Math.log(2 * ALL_ROUTES_WEIGHT),
-        single + Math.log(2 * (1 - ALL_ROUTES_WEIGHT)),
-    ]);
+    const periods = [...new Set(tested.flatMap(group => group.map(({ period }) => period)))].sort(
+        (first, second) => first - second,
+    );
+    const byPeriod = periods.map(period => {
+        const ratios = tested.map(group => logRatioFrom(group, period, oddsRatio));
+        const all = ratios.reduce((sum, ratio) => sum + halved(ratio), 0);
+        return logMixture(ALL_ROUTES_WEIGHT, all, logMeanExp(ratios));
+    });
+    const [first, ...later] = byPeriod;
+    return later.length === 0 ? first! : logMixture(FIRST_PERIOD_WEIGHT, first!, logMeanExp(later));
 }
 
 /**
@@ -300,20 +328,24 @@
         (sum, { reference }) => addCounters(sum, reference),
         NO_COUNTERS,
     );
+    const slowHeads = groupsOf(table, SLOW_HEAD_SUFFIX);
+    const slowPaces = groupsOf(table, SLOW_PACE_SUFFIX);
+    const slowAnswers = [...slowHeads, ...slowPaces].flat();
     const alarmLogRatio = ALARM_LOG_RATIO + Math.log(tables);
     const errorLogRatio = logRatioOfFaults(answers, ERROR_ODDS_RATIO);
     const latencyLogRatio = Math.max(
-        latencyLogRatioOf(headStrata),
-        latencyLogRatioOf(groupsOf(table, PACE_SUFFIX).flat()),
-        logRatioOfFaults(groupsOf(table, SLOW_HEAD_SUFFIX), SLOW_ODDS_RATIO),
-        logRatioOfFaults(groupsOf(table, SLOW_PACE_SUFFIX), SLOW_ODDS_RATIO),
+        latencyLogRatioOf(answers),
+        latencyLogRatioOf(groupsOf(table, PACE_SUFFIX)),
+        logRatioOfFaults(slowHeads, SLOW_ODDS_RATIO),
+        logRatioOfFaults(slowPaces, SLOW_ODDS_RATIO),
     );
     const hasErrorRegression = total.errors >= MINIMUM_ERRORS && errorLogRatio >= alarmLogRatio;
     return {
         isRegression: hasErrorRegression || latencyLogRatio >= alarmLogRatio,
-        isDoubtful: Math.max(errorLogRatio, latencyLogRatio) >= DOUBTFUL_LOG_RATIO,
+        isDoubtful: Math.max(errorLogRatio, latencyLogRatio) > DOUBTFUL_LOG_RATIO,
         answers: total.answers,
         errors: total.errors,
+        slowAnswers: slowAnswers.reduce((sum, { version }) => sum + version.errors, 0),
         referenceAnswers: referenceTotal.answers,
         referenceErrors: referenceTotal.errors,
         errorLogRatio,
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -9,6 +9,7 @@
  * started before the shift and stay on the old version at every node.
  */
 import { hashToUnit } from "../common/hash.js";
+import type { VersionPreference } from "../upstream-table/upstream-choice.js";
 
 /** The operators' request to shift a service. */
 export interface ShiftOrder {
@@ -41,6 +42,8 @@
     readonly collectShare: number;
     /** Share of the sessions on the new version during the canary stage. */
     readonly canaryShare: number;
+    /** Requests on the new version during the canary stage in addition to the share, over all nodes. */
+    readonly canaryRequests: number;
     /** Share of the duration after which a version without a regression starts to get more sessions. */
     readonly fullAt: number;
     /** Share of the duration after which the new version gets all sessions. */
@@ -77,6 +80,18 @@
     readonly storeTime: number | undefined;
     /** Whether any node collected the session. */
     readonly isCollected: (sessionKey: string) => boolean;
+    /** Share of this node's requests without a session on the new version during the canary stage. */
+    readonly singleShare: number;
+}
+
+/** What decides the version of a request. */
+export interface ShiftedRequest {
+    /** Key of the session; an own key for a request without a session. */
+    readonly key: string;
+    /** Whether other requests with the key may have come before, or will come. */
+    readonly isSession: boolean;
+    /** Version on which the session last ran, if it is known and has not expired. */
+    readonly lastVersion: string | undefined;
 }
 
 /** Whether the shift is in its collection period. True while the store's clock is unknown. */
@@ -132,16 +147,38 @@
 export interface VersionRule {
     /** Whether requests may go to a version. */
     readonly isAllowed: (version: string) => boolean;
-    /**
-     * Whether a session should run on the new version; `undefined` when there is no preference.
-     *
-     * @param lastVersion Version on which the session last ran, if the session has not expired.
-     */
-    readonly prefersNew: ((sessionKey: string, lastVersion: string | undefined) => boolean) | undefined;
+    /** Whether a request should run on the new version; `undefined` when there is no preference. */
+    readonly prefersNew: ((request: ShiftedRequest) => boolean) | undefined;
     readonly newVersion: string | undefined;
+    /** Share of the requests that prefer the new version. */
+    readonly newShare: number;
+    /** Whether a request that prefers the old version may run on the new one when it finds no other. */
+    readonly mayOverflow: boolean;
 }
 
-const NO_RULE: VersionRule = { isAllowed: () => true, prefersNew: undefined, newVersion: undefined };
+/** Rule of a service that is not shifted. */
+export const NO_RULE: VersionRule = {
+    isAllowed: () => true,
+    prefersNew: undefined,
+    newVersion: undefined,
+    newShare: 1,
+    mayOverflow: true,
+};
+
+/** Derives which version a request of a shifted service prefers. */
+export function versionPreference(
+    { prefersNew, newVersion, newShare, mayOverflow }: VersionRule,
+    request: ShiftedRequest,
+    failedVersions: ReadonlySet<string>,
+): VersionPreference | undefined {
+    if (prefersNew === undefined || newVersion === undefined) {
+        return undefined;
+    }
+    // A failure of the new version may be its fault: the old one is the better choice for the retry.
+    return prefersNew(request) && !failedVersions.has(newVersion)
+        ? { matches: version => version === newVersion, upstreamShare: newShare, allowsOthers: true }
+        : { matches: version => version !== newVersion, upstreamShare: 1, allowsOthers: mayOverflow };
+}
 
 /** Derives which versions of a service may get requests. Ignores a state that belongs to another order. */
 export function versionRule(
@@ -159,28 +196,39 @@
         // The new version gets no requests until the start of the shift is stored.
         case undefined:
         case "rolled-back":
-            return { isAllowed: version => version !== newVersion, prefersNew: undefined, newVersion };
+            return { ...NO_RULE, isAllowed: version => version !== newVersion, newVersion };
         case "canary":
             return {
                 isAllowed: () => true,
-                prefersNew: (sessionKey, lastVersion) =>
-                    !isCollecting(order, current, view.storeTime, settings) &&
-                    !view.isCollected(sessionKey) &&
-                    (lastVersion === undefined
-                        ? isCanarySession(sessionKey, settings)
-                        : lastVersion === newVersion),
+                prefersNew: ({ key, isSession, lastVersion }) => {
+                    if (!isSession) {
+                        return sessionPoint(key) < view.singleShare;
+                    }
+                    return (
+                        !isCollecting(order, current, view.storeTime, settings) &&
+                        !view.isCollected(key) &&
+                        (lastVersion === undefined
+                            ? isCanarySession(key, settings)
+                            : lastVersion === newVersion)
+                    );
+                },
                 newVersion,
+                newShare: Math.max(settings.canaryShare, view.singleShare),
+                mayOverflow: view.singleShare > 0,
             };
         case "full": {
             const share = fullStageShare(order, current, view.storeTime, settings);
             return {
                 isAllowed: () => true,
-                prefersNew: sessionKey => sessionPoint(sessionKey) < share,
+                prefersNew: ({ key, isSession }) =>
+                    sessionPoint(key) < (isSession ? share : Math.max(share, view.singleShare)),
                 newVersion,
+                newShare: 1,
+                mayOverflow: true,
             };
         }
         case "completed":
-            return { isAllowed: version => version === newVersion, prefersNew: undefined, newVersion };
+            return { ...NO_RULE, isAllowed: version => version === newVersion, newVersion };
     }
 }
 
--- a/src/node/upstream-table/__tests__/upstream-choice.spec.ts
+++ b/src/node/upstream-table/__tests__/upstream-choice.spec.ts
@@ -81,7 +81,9 @@
 
 test("a session runs on another version only when its own has no upstream", () => {
     const newer = createTestUpstream("n", { version: "v2" });
-    const context = createContext({ prefersVersion: version => version === "v2" });
+    const context = createContext({
+        versionPreference: { matches: version => version === "v2", upstreamShare: 1, allowsOthers: true },
+    });
     assert.equal(idOf(chooseUpstream([first, newer], context)), "n");
     assert.equal(idOf(chooseUpstream([first], context)), "a");
 });
@@ -159,3 +161,24 @@
     recordSend(upstream, 3000);
     assert.equal(upstream.recentSends.length, 1);
 });
+
+test("the requests of a canary run on as few upstreams as their share fills", () => {
+    const upstreams = ["a", "b", "c", "d"].map(id => createTestUpstream(id, { version: "v2" }));
+    const chosenWith = (upstreamShare: number): number => {
+        const versionPreference = { matches: () => true, upstreamShare, allowsOthers: true };
+        const random = createSeededRandom(1);
+        const context = createContext({ versionPreference, random });
+        const ids = Array.from({ length: 200 }, () => chooseUpstream(upstreams, context)?.upstream.entry.id);
+        return new Set(ids).size;
+    };
+    assert.deepEqual([0.1, 0.25, 0.3, 1].map(chosenWith), [1, 1, 2, 4]);
+});
+
+test("a request keeps off the versions that its preference does not allow", () => {
+    const upstreams = [createTestUpstream("a", { version: "v2" })];
+    const preference = { matches: (version: string) => version === "v1", upstreamShare: 1 };
+    const choose = (allowsOthers: boolean) =>
+        chooseUpstream(upstreams, createContext({ versionPreference: { ...preference, allowsOthers } }));
+    assert.equal(choose(false), undefined);
+    assert.equal(choose(true)?.upstream.entry.id, "a");
+});
--- a/src/node/upstream-table/__tests__/upstream-fixtures.ts
+++ b/src/node/upstream-table/__tests__/upstream-fixtures.ts
@@ -44,7 +44,7 @@
         capacityTokens: undefined,
         loadOf: () => NO_LOAD,
         ejectionsOf: () => 0,
-        prefersVersion: undefined,
+        versionPreference: undefined,
         excluded: new Set(),
         coldAllowance: () => Infinity,
         hasRoom: () => true,
--- a/src/node/upstream-table/upstream-choice.ts
+++ b/src/node/upstream-table/upstream-choice.ts
@@ -5,12 +5,24 @@
  * requests behind them. A request goes to the upstream with the lowest expected delay, computed from the load
  * of all nodes, the prompt tokens that are not cached, recent failures and free memory.
  */
-import { hashToUnit } from "../common/hash.js";
+import { hashToUnit, rendezvousOrder } from "../common/hash.js";
 import type { Load } from "./load-board.js";
 import type { Random } from "../common/random.js";
 import { COLD_WINDOW_MILLISECONDS } from "./upstream-table.js";
 import type { RegisteredUpstream } from "./upstream-table.js";
 
+/** Which versions should serve a request. */
+export interface VersionPreference {
+    readonly matches: (version: string) => boolean;
+    /**
+     * Share of the matching upstreams that are used. Below 1, these few upstreams get as many requests each as
+     * they would if all requests ran on their version.
+     */
+    readonly upstreamShare: number;
+    /** Whether another version may serve the request when no matching upstream can. */
+    readonly allowsOthers: boolean;
+}
+
 export interface ChoiceContext {
     readonly now: number;
     /** Key of the shared prompt prefix; `undefined` when the request has no prefix worth caching. */
@@ -27,8 +39,8 @@
     readonly loadOf: (upstream: RegisteredUpstream) => Load;
     /** Number of other nodes that have ejected the upstream. */
     readonly ejectionsOf: (upstream: RegisteredUpstream) => number;
-    /** Whether a version is preferred for the request; `undefined` when all versions are equal. */
-    readonly prefersVersion: ((version: string) => boolean) | undefined;
+    /** Preference among the versions; `undefined` when all versions are equal. */
+    readonly versionPreference: VersionPreference | undefined;
     /** Ids of upstreams that an earlier attempt of the request used. */
     readonly excluded: ReadonlySet<string>;
     /** Maximum rate at which this node may send to the upstream while it is cold, requests per second. */
@@ -123,6 +135,40 @@
     return best;
 }
 
+/** The first upstreams of a version, by an order that all nodes share. */
+function concentrate(
+    candidates: readonly RegisteredUpstream[],
+    count: number,
+): readonly RegisteredUpstream[] {
+    const order = rendezvousOrder(
+        "version",
+        candidates.map(({ entry }) => entry.id),
+    );
+    const chosen = new Set(order.slice(0, count));
+    return candidates.filter(({ entry }) => chosen.has(entry.id));
+}
+
+function candidatesOf(
+    upstreams: readonly RegisteredUpstream[],
+    allowed: readonly RegisteredUpstream[],
+    context: ChoiceContext,
+): readonly RegisteredUpstream[] {
+    const preference = context.versionPreference;
+    const matches = ({ entry }: RegisteredUpstream): boolean => preference?.matches(entry.version) ?? true;
+    const matching = allowed.filter(matches);
+    const healthy = matching.filter(upstream => !isAvoided(upstream, context));
+    const candidates = healthy.length > 0 ? healthy : matching;
+    if (preference === undefined) {
+        return candidates;
+    }
+    if (candidates.length === 0) {
+        return preference.allowsOthers ? allowed : [];
+    }
+    return preference.upstreamShare < 1
+        ? concentrate(candidates, Math.ceil(preference.upstreamShare * upstreams.filter(matches).length))
+        : candidates;
+}
+
 /** Returns `undefined` when no upstream may receive the request now. */
 export function chooseUpstream(
     upstreams: readonly RegisteredUpstream[],
@@ -136,13 +182,7 @@
             (upstream.coldUntil <= context.now ||
                 hasColdAllowance(upstream, context.now, context.coldAllowance(upstream))),
     );
-    const { prefersVersion } = context;
-    const versionMatches =
-        prefersVersion === undefined
-            ? allowed
-            : allowed.filter(upstream => prefersVersion(upstream.entry.version));
-    const healthy = versionMatches.filter(upstream => !isAvoided(upstream, context));
-    const candidates = healthy.length > 0 ? healthy : versionMatches.length > 0 ? versionMatches : allowed;
+    const candidates = candidatesOf(upstreams, allowed, context);
     const preferred =
         context.affinityKey === undefined ? undefined : preferredUpstream(candidates, context.affinityKey);
     let best: RegisteredUpstream | undefined;
