Divide the slots of brittle upstreams among the nodes

Cause: a limit that counts for all nodes together was kept by each node by itself. The statement was used from the first rejection on, by the node that got it, for that one upstream, though upstreams state it in all answers, seconds before they let fewer requests wait. Nine nodes caused nine rejections where three are borne.

Ruled out: longer pauses after a rejection. The first falls come 0.3 s into the burst, before any pause has ended.

Change: from the first statement on, no request waits at an upstream of the service. The nodes divide the slots of each upstream by their rank in its order and have no more requests in flight than their share; what finds no slot waits at its node for up to the target latency and is then rejected. A statement holds for the whole service, so also for upstreams that have just restarted, and load reports pass it on at once.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -114,6 +114,12 @@
     /** Requests per second that this node may send to one cold upstream of a service. */
     readonly coldAllowance: (service: Service, upstream: RegisteredUpstream) => number;
     readonly limits: Pick<UpstreamLimits, "hasRoom" | "record" | "consume">;
+    /** Whether rejections crash the upstreams of a service. */
+    readonly isBrittle: (service: string) => boolean;
+    /** Whether an upstream has a slot for one more request of this node. */
+    readonly hasFreeSlot: (upstream: RegisteredUpstream) => boolean;
+    /** Records whether an upstream stated in a response that rejections crash it. */
+    readonly recordBrittle: (upstream: RegisteredUpstream, isBrittle: boolean, sentAt: number) => void;
     readonly countAttempt: (
         service: string,
         version: string,
@@ -146,6 +152,9 @@
 /** Time that a request may wait for an upstream with free capacity, relative to the target latency. */
 const CAPACITY_WAIT_RATIO = 1 / 8;
 
+/** Number of waits for a slot of an upstream that rejections crash; together the target latency. */
+const MAXIMUM_CAPACITY_WAITS = 8;
+
 /** Share of the retry budget that is reserved for retries and unavailable to escalations. */
 const ESCALATION_RESERVE = 0.25;
 
@@ -220,7 +229,7 @@
         let rejections = 0;
         let unreached = 0;
         let handovers = 0;
-        let hasWaited = false;
+        let waits = 0;
         let firstByteMilliseconds: number | undefined;
         let lastFailure: BufferedResponse | undefined;
         let retryAfterSeconds: number | undefined;
@@ -256,7 +265,9 @@
                 versionPreference: options.versionPreferenceOf(service.name, session, failedVersions),
                 excluded,
                 coldAllowance: upstream => options.coldAllowance(service, upstream),
-                hasRoom: upstream => options.limits.hasRoom(upstream.process, clock.now()),
+                hasRoom: upstream =>
+                    options.limits.hasRoom(upstream.process, clock.now()) &&
+                    (!options.isBrittle(service.name) || options.hasFreeSlot(upstream)),
                 random: options.random,
             });
 
@@ -384,6 +395,11 @@
                     if (responseHead.isLeaving) {
                         options.recordLeaving(upstream);
                     }
+                    options.recordBrittle(
+                        upstream,
+                        responseHead.maximumRejectionsPerSecond !== undefined,
+                        sentAt,
+                    );
                     load.promptRead();
                     headConfidence = responseHead.confidence;
                     limitPerSecond = responseHead.limitPerSecond;
@@ -499,13 +515,17 @@
             executions += 1;
         };
 
-        /** Waits once per request until an upstream may have free capacity. */
+        /**
+         * Waits until an upstream may have free capacity: once, or several times where a request must not wait at
+         * the upstream.
+         */
         const waitForCapacity = async (): Promise<boolean> => {
             const wait = route.targetLatencyMilliseconds * CAPACITY_WAIT_RATIO;
-            if (hasWaited || sink.hasBegun() || deadline - clock.now() < 2 * wait) {
+            const maximumWaits = options.isBrittle(service.name) ? MAXIMUM_CAPACITY_WAITS : 1;
+            if (waits >= maximumWaits || sink.hasBegun() || deadline - clock.now() < 2 * wait) {
                 return false;
             }
-            hasWaited = true;
+            waits += 1;
             trace.add("attempts", "Waiting for an upstream with free capacity.", { milliseconds: wait });
             await new Promise(resolve => setTimeout(resolve, wait));
             return !request.callerLeft.aborted;
@@ -594,7 +614,7 @@
                     return handedOver;
                 }
                 let choice = nextChoice();
-                if (choice === undefined && executions === 0 && (await waitForCapacity())) {
+                while (choice === undefined && executions === 0 && (await waitForCapacity())) {
                     excluded.clear();
                     choice = nextChoice();
                 }
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -36,6 +36,8 @@
 import { createLoadBoard } from "../upstream-table/load-board.js";
 import { createLoadReports } from "../upstream-table/load-reports.js";
 import { createActiveNodes } from "../upstream-table/active-nodes.js";
+import { createBrittleServices } from "../upstream-table/brittle-services.js";
+import { createSlotShares } from "../upstream-table/slot-shares.js";
 import { createUpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
@@ -265,7 +267,7 @@
         logger: createLogger("upstreams"),
     });
     const loads = createLoadBoard();
-    const limits = createUpstreamLimits({
+    const sharing = {
         node: config.node.id,
         nodes: nodes.ids,
         ...createActiveNodes({
@@ -273,7 +275,11 @@
             nodes: nodes.ids,
             heardAt: node => loads.heardAt(node),
         }),
-    });
+    };
+    const limits = createUpstreamLimits(sharing);
+    const brittle = createBrittleServices();
+    const upstreamsLog = createLogger("upstreams");
+    const slotShares = createSlotShares(sharing);
     const loadReports = createLoadReports({
         node: config.node.id,
         ...splitEndpoint(config.loads.listen),
@@ -292,6 +298,7 @@
                 .map(entry => entry.address),
         quarantine,
         limits,
+        brittle,
         clock,
         random,
         lifecycle,
@@ -331,6 +338,21 @@
         }),
         quarantine,
         limits,
+        isBrittle: service => brittle.isBrittle(service, clock.now()),
+        hasFreeSlot: ({ entry, process }) =>
+            (loads.ownLoads().get(entry.id)?.requests ?? 0) <
+            slotShares.shareOf(process, entry.slots, clock.now()),
+        recordBrittle: ({ entry, process }, isBrittle, sentAt) => {
+            const wasBrittle = brittle.isBrittle(entry.service, clock.now());
+            brittle.record(entry.service, process, isBrittle, sentAt, clock.now());
+            if (isBrittle && !wasBrittle) {
+                upstreamsLog.warn("Rejections crash upstreams of a service; no request may wait at them.", {
+                    service: entry.service,
+                    upstream: entry.id,
+                });
+                loadReports.sendSoon();
+            }
+        },
         isLeaving: ({ entry }) => {
             const current = upstreams.get(entry.id);
             return (
--- a/src/node/upstream-table/__tests__/upstream-fixtures.ts
+++ b/src/node/upstream-table/__tests__/upstream-fixtures.ts
@@ -14,6 +14,7 @@
         dataCentre: "patio",
         version: "v1",
         leaving: false,
+        slots: 8,
         coldMilliseconds: 0,
         startedAt: 1,
         ...overrides,
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -6,6 +6,7 @@
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
 import type { Quarantine, QuarantineReport } from "../quarantine/quarantine.js";
+import type { BrittleServices, WireBrittleService } from "./brittle-services.js";
 import type { UpstreamLimits, WireLimit } from "./upstream-limits.js";
 import type { Load, LoadBoard } from "./load-board.js";
 
@@ -45,6 +46,7 @@
 interface WireNews {
     readonly quarantine?: QuarantineReport;
     readonly limits?: readonly WireLimit[];
+    readonly brittle?: readonly WireBrittleService[];
     /** The node has no path to the upstreams. */
     readonly isolated?: boolean;
 }
@@ -65,6 +67,8 @@
     readonly quarantine: Pick<Quarantine, "report" | "merge">;
     /** Limits that upstreams name, which the reports carry. */
     readonly limits: Pick<UpstreamLimits, "report" | "merge">;
+    /** Services whose upstreams rejections crash, which the reports carry. */
+    readonly brittle: Pick<BrittleServices, "report" | "merge">;
     /** Whether this node has no path to the upstreams. */
     readonly isIsolated: () => boolean;
     readonly peerStates: Pick<PeerStates, "record">;
@@ -135,6 +139,9 @@
             if (news?.limits !== undefined) {
                 options.limits.merge(news.limits, now);
             }
+            if (news?.brittle !== undefined) {
+                options.brittle.merge(news.brittle, now);
+            }
         }
         catch (error) {
             logger.warn("Discarded a datagram that is not a load report.", {
@@ -153,9 +160,11 @@
         const now = options.clock.now();
         const quarantine = options.quarantine.report(now);
         const limits = options.limits.report(now);
+        const brittle = options.brittle.report(now);
         const isolated = options.isIsolated() ? true : undefined;
-        const hasNews = quarantine !== undefined || limits !== undefined || isolated !== undefined;
-        const news = hasNews ? { quarantine, limits, isolated } : undefined;
+        const allNews: WireNews = { quarantine, limits, brittle, isolated };
+        const hasNews = Object.values(allNews).some(part => part !== undefined);
+        const news = hasNews ? allNews : undefined;
         const hasContent = board.ownLoads().size > 0 || ejected.length > 0;
         unchangedIntervals = board.revision === sentRevision ? unchangedIntervals + 1 : 0;
         const isRepeat =
--- a/src/node/upstream-table/upstream-table.ts
+++ b/src/node/upstream-table/upstream-table.ts
@@ -15,6 +15,8 @@
     /** Version of the upstream's software. */
     readonly version: string;
     readonly leaving: boolean;
+    /** Requests that the upstream processes at the same time. */
+    readonly slots: number;
     /**
      * Time after a change of its registration during which the upstream is cold, that is, gets requests at a
      * limited rate, milliseconds.
