--- a/src/node/handover/reachability.ts
+++ b/src/node/handover/reachability.ts
@@ -30,13 +30,16 @@
 /** Time to establish a connection, milliseconds: many round trips within a region. */
 const PROBE_MILLISECONDS = 400;
 
-/** Establishes a TCP connection and closes it. */
+const MAXIMUM_PORT = 65_535;
+
+/** Establishes a TCP connection and closes it. An address that cannot be connected to resolves to false. */
 export function probeConnection(address: string): Promise<boolean> {
     const separator = address.lastIndexOf(":");
-    const socket = connect({
-        host: address.slice(0, separator),
-        port: Number(address.slice(separator + 1)),
-    });
+    const port = Number(address.slice(separator + 1));
+    if (!Number.isInteger(port) || port < 0 || port > MAXIMUM_PORT) {
+        return Promise.resolve(false);
+    }
+    const socket = connect({ host: address.slice(0, separator), port });
     return new Promise(resolve => {
         const finish = (isEstablished: boolean): void => {
             clearTimeout(timer);
@@ -65,7 +68,14 @@
     const probeRound = async (): Promise<void> => {
         isProbing = true;
         const addresses = sample(options.addresses(), PROBES_PER_ROUND, options.random);
-        const results = await Promise.all(addresses.map(options.probe));
+        const results = await Promise.all(addresses.map(options.probe)).catch((error: unknown) => {
+            logger.warn("Could not probe upstreams.", { error: (error as Error).message });
+            return undefined;
+        });
+        if (results === undefined) {
+            isProbing = false;
+            return;
+        }
         const wasIsolated = isIsolated(state);
         // Without upstreams there is nothing to be isolated from.
         state = recordRound(state, addresses.length === 0 || results.includes(true), clock.now());
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -254,11 +254,14 @@
     });
 
     const peerStates = createPeerStates();
+    /** Entries of other services may come from another writer, and name no upstream to reach. */
+    const isKnownService = (service: string): boolean =>
+        operators.routes()?.configuration.services.has(service) === true;
     const reachability = createReachability({
         addresses: () =>
             upstreams
                 .all()
-                .filter(upstream => !upstreams.isLeaving(upstream))
+                .filter(upstream => !upstreams.isLeaving(upstream) && isKnownService(upstream.entry.service))
                 .map(({ entry }) => entry.address),
         probe: probeConnection,
         clock,
