Let nothing replace the completion of a shift

What callers saw: 503 for every request of a service. A node that was cut off from the store had rolled a shift back by itself; when it reached the store again it wrote so over the completion, and no upstream was left.

Cause: laterState took rolled back for later than completed. Both are final, but only the completion cannot be undone, since the old upstreams stop at it. The condition on the row's revision guards the write, not the transition.

Change: completed comes last.

--- a/src/node/shifts/__tests__/shift-nodes.ts
+++ b/src/node/shifts/__tests__/shift-nodes.ts
@@ -20,8 +20,10 @@
     let epoch = 0;
     let revision = 1;
     let isStoreUp = true;
-    const transact = ({ conditions, writes }: StoreTransaction): Promise<boolean> => {
-        if (!isStoreUp) {
+    /** Nodes that neither reach the store nor get its rows. */
+    const cutOff = new Set<string>();
+    const transact = (node: string, { conditions, writes }: StoreTransaction): Promise<boolean> => {
+        if (!isStoreUp || cutOff.has(node)) {
             return Promise.reject(new Error("down"));
         }
         if (conditions.some(condition => (rows.get(condition.key)?.revision ?? 0) !== condition.revision)) {
@@ -31,14 +33,19 @@
         for (const { table, key, value } of writes) {
             rows.set(`${table === "reports" ? "report:" : ""}${key}`, { value: value!, revision });
             if (table !== "reports") {
-                replicas.forEach(replica =>
-                    replica.apply({ epoch, revision, complete: false, rows: [{ key, revision, value }] }),
-                );
+                replicas.forEach((replica, index) => {
+                    if (!cutOff.has(names[index]!)) {
+                        replica.apply({ epoch, revision, complete: false, rows: [{ key, revision, value }] });
+                    }
+                });
             }
         }
         return Promise.resolve(true);
     };
-    const store = { transact } as unknown as SharedStore;
+    const storeOf = (node: string): SharedStore =>
+        ({
+            transact: (transaction: StoreTransaction) => transact(node, transaction),
+        }) as unknown as SharedStore;
     replicas.forEach(replica => replica.apply({ epoch: 0, revision: 1, complete: true, rows: [] }));
     const lifecycle = createLifecycle();
     const coordinators = names.map((node, index) =>
@@ -46,7 +53,7 @@
             node,
             orders: () => [currentOrder],
             replica: replicas[index]!,
-            store,
+            store: storeOf(node),
             clockOffset: () => 0,
             nodeCount: () => names.length,
             encodeReport: (_order, stage) => ({ table: "reports", key: "shift", value: stage }),
@@ -74,6 +81,19 @@
         setStoreUp: (up: boolean) => {
             isStoreUp = up;
         },
+        cutOff: (node: string) => {
+            cutOff.add(node);
+        },
+        reconnect: (node: string) => {
+            cutOff.delete(node);
+            const stored = [...rows].filter(([key]) => !key.startsWith("report:"));
+            replicas[names.indexOf(node)]!.apply({
+                epoch,
+                revision,
+                complete: true,
+                rows: stored.map(([key, row]) => ({ key, ...row })),
+            });
+        },
     };
 }
 
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -2,10 +2,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
+import fc from "fast-check";
 import { createSeededRandom } from "../../common/random.js";
 import { planCanaryShare, resolveShiftSettings } from "../exposure-plan.js";
-import { nextStage, versionPreference, versionRule } from "../shift.js";
-import type { ShiftOrder, ShiftState, ShiftedRequest } from "../shift.js";
+import { laterState, nextStage, versionPreference, versionRule } from "../shift.js";
+import type { ShiftOrder, ShiftStage, ShiftState, ShiftedRequest } from "../shift.js";
 import {
     assessEvidence,
     countEvidence,
@@ -48,6 +49,8 @@
     return { headMilliseconds, paceMilliseconds };
 }
 
+const STAGES: readonly ShiftStage[] = ["canary", "full", "rolled-back", "completed"];
+
 const fastTiming = timing(100);
 
 function outcomeOf(succeeded: boolean): AnswerOutcome {
@@ -550,3 +553,43 @@
     assert.equal(report(), "canary");
     await lifecycle.stop();
 });
+
+// The old upstreams stop at the completion: after a roll-back, none would be left.
+test("a node that was cut off does not roll back a shift that the others completed", async context => {
+    context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+    const { coordinators, lifecycle, report, cutOff, reconnect } = createNodes(["a", "b", "c"]);
+    await lifecycle.start();
+    await advanceTime(context.mock.timers, 1000);
+    cutOff("a");
+    for (let index = 0; index < 60; index++) {
+        coordinators[0]!.record("engines", "v1", "reports", "succeeded", fastTiming, "old");
+        coordinators[0]!.record("engines", "v2", "reports", "failed", fastTiming, "new");
+        coordinators[1]!.record("engines", "v1", "reports", "succeeded", fastTiming, "old");
+        coordinators[1]!.record("engines", "v2", "reports", "succeeded", fastTiming, "new");
+    }
+    await advanceTime(context.mock.timers, 18_000);
+    assert.equal(coordinators[0]!.states().get("engines")?.stage, "rolled-back");
+    assert.equal(report(), "completed");
+    reconnect("a");
+    await advanceTime(context.mock.timers, 3000);
+    assert.equal(report(), "completed");
+    coordinators.forEach(({ rule }) => assert.equal(rule("engines").isAllowed("v2"), true));
+    await lifecycle.stop();
+});
+
+test("at all nodes a shift ends in the same final stage, whatever the order of decisions, cuts and restores", () =>
+    fc.assert(
+        fc.property(fc.array(fc.tuple(fc.nat(8), fc.constantFrom(...STAGES)), { maxLength: 30 }), writes => {
+            const states = Array.from({ length: 9 }, (): ShiftState => canary);
+            writes.forEach(([node, stage]) => {
+                states[node] = laterState(states[node]!, { ...canary, stage });
+            });
+            const merge = (order: readonly ShiftState[]): ShiftStage =>
+                order.reduce((first, second) => laterState(first, second)).stage;
+            assert.equal(merge(states), merge([...states].reverse()));
+            if (writes.some(([, stage]) => stage === "completed")) {
+                assert.equal(merge(states), "completed");
+            }
+        }),
+        { numRuns: 10_000 },
+    ));
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -54,7 +54,11 @@
     readonly decideAt: number;
 }
 
-const STAGE_ORDER: readonly ShiftStage[] = ["canary", "full", "completed", "rolled-back"];
+/**
+ * Order in which stages replace each other. Nothing replaces a completion, at which the old upstreams stop. A
+ * node rolls back before it writes so, and may find the shift completed when it reaches the store again.
+ */
+const STAGE_ORDER: readonly ShiftStage[] = ["canary", "full", "rolled-back", "completed"];
 
 /** Whether two rows are the same order; `second` may have been written again in a restored store. */
 export function isSameOrder(first: ShiftOrder, second: ShiftOrder): boolean {
