Load one upstream of the canary like the whole service

What callers saw: a version that fails under load was completed, because its upstreams bore a tenth of their later load until then.

Change: requests without a session spend half of the even share in the first part of the canary, and then as much as brings one upstream of the new version to the average load that it will have.

--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -209,6 +209,8 @@
         store: adapter.store,
         clockOffset: () => sync.clockOffset(),
         nodeCount: () => nodes.count(),
+        upstreamCount: (service, version) =>
+            upstreams.usable(service).filter(({ entry }) => entry.version === version).length,
         encodeReport: (order, stage) => adapter.encodeShiftReport(order, stage),
         settings: durationMilliseconds =>
             resolveShiftSettings(
--- a/src/node/shifts/__tests__/shift-nodes.ts
+++ b/src/node/shifts/__tests__/shift-nodes.ts
@@ -6,6 +6,9 @@
 import { createShiftCoordinator } from "../shift-coordinator.js";
 import type { ShiftOrder, ShiftSettings } from "../shift.js";
 
+/** Upstreams of each version. */
+export const UPSTREAMS = 4;
+
 type StoredRows = ReadonlyMap<string, { readonly value: string; readonly revision: number }>;
 
 export interface StoreCopy {
@@ -56,6 +59,7 @@
             store: storeOf(node),
             clockOffset: () => 0,
             nodeCount: () => names.length,
+            upstreamCount: () => UPSTREAMS,
             encodeReport: (_order, stage) => ({ table: "reports", key: "shift", value: stage }),
             settings: () => settings,
             clock: { now: Date.now, wallTime: Date.now },
--- a/src/node/shifts/__tests__/simulated-shift.ts
+++ b/src/node/shifts/__tests__/simulated-shift.ts
@@ -4,7 +4,7 @@
 import type { Random } from "../../common/random.js";
 import type { ShiftOrder } from "../shift.js";
 import { resolveShiftSettings } from "../exposure-plan.js";
-import { advanceTime, createShiftNodes } from "./shift-nodes.js";
+import { UPSTREAMS, advanceTime, createShiftNodes } from "./shift-nodes.js";
 
 export interface SimulatedRoute {
     readonly name: string;
@@ -50,8 +50,6 @@
 const BAD_ANSWERS = 50;
 const MEAN_WORK_MILLISECONDS = 86;
 const SLOWDOWN = 8;
-/** Upstreams of each version. */
-const UPSTREAMS = 4;
 
 export const EXPOSURE_SHARE = 0.15;
 export const EXPOSURE_REQUESTS = 30;
--- a/src/node/shifts/exposure-plan.ts
+++ b/src/node/shifts/exposure-plan.ts
@@ -83,15 +83,25 @@
 /** Maximum share of a node's requests during the canary stage. The others are the reference. */
 const MAXIMUM_CANARY_SHARE = 0.5;
 
+/** Part of the canary stage in which half of the even share is saved for the load test that follows. */
+const SAVING_PART = 0.45;
+
+/** Part of the even share that the load test leaves for the end of the canary stage. */
+const FINAL_EVEN_PART = 0.4;
+
 /**
  * Returns the share of a node's requests without a session that run on the new version during the canary
- * stage. It spends what is left of the node's part of the bounds evenly over the rest of the stage, so that
- * services with few requests collect enough answers. 0 when nothing is left.
+ * stage. It spends the node's part of the bounds, so that services with few requests collect enough answers: a
+ * little at first, then as much as loads one upstream like all requests on the new version would, and what is
+ * left until the end. 0 when nothing is left.
+ *
+ * @param upstreamCount Upstreams of the new version.
  */
 export function planCanaryShare(
     progress: number,
     { attempts, newAttempts }: ShiftTraffic,
     nodeCount: number,
+    upstreamCount: number,
     settings: ShiftSettings,
 ): number {
     if (progress < MINIMUM_PROGRESS) {
@@ -100,6 +110,16 @@
     const expectedAttempts = Math.max(1, attempts) / progress;
     const allowed =
         settings.canaryShare * settings.fullAt * expectedAttempts + settings.canaryRequests / nodeCount;
-    const remaining = expectedAttempts * Math.max(MINIMUM_PROGRESS, settings.fullAt - progress);
-    return Math.min(MAXIMUM_CANARY_SHARE, Math.max(0, (allowed - newAttempts) / remaining));
+    const shareOver = (requests: number, part: number): number =>
+        Math.min(MAXIMUM_CANARY_SHARE, Math.max(0, requests) / (expectedAttempts * part));
+    const evenShare = shareOver(
+        allowed - newAttempts,
+        Math.max(MINIMUM_PROGRESS, settings.fullAt - progress),
+    );
+    if (progress < SAVING_PART * settings.fullAt) {
+        return evenShare / 2;
+    }
+    const isLoadTest = evenShare >= FINAL_EVEN_PART * shareOver(allowed, settings.fullAt);
+    const loadShare = Math.min(MAXIMUM_CANARY_SHARE, 1 / Math.max(1, upstreamCount));
+    return isLoadTest ? Math.max(evenShare, loadShare) : evenShare;
 }
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -82,6 +82,8 @@
     /** Store clock minus this process's monotonic clock, milliseconds; `undefined` while unknown. */
     readonly clockOffset: () => number | undefined;
     readonly nodeCount: () => number;
+    /** Number of upstreams of a version that may receive requests. */
+    readonly upstreamCount: (service: string, version: string) => number;
     /** Encodes the row that reports a shift's stage to the operators. */
     readonly encodeReport: (order: ShiftOrder, stage: ShiftStage) => RowWrite;
     /** Schedule of a shift of a duration, milliseconds. */
@@ -336,6 +338,7 @@
                   (time - state.startedAt) / order.durationMilliseconds,
                   traffic,
                   options.nodeCount(),
+                  options.upstreamCount(order.service, order.version),
                   settingsOf(order),
               );
     };
