Check rows and datagrams of other writers where they enter

What callers saw: after datagrams whose loads are no numbers had reached a node, 28 of 28 requests got 503 (6 of 6 upstreams were sound). A row of the nodes' table that does not fit threw in timers and in listeners of the table: a malformed state of a shift ends the process, and a malformed quarantine keeps other parts from learning of a change.

Ruled out by reading: headers, answers of the store, settings, messages of peers.

Change: rows of the nodes' table are read with a schema and left out with a log line that names them (replica/row-reader.ts); a datagram that is no load report is discarded as a whole; a configuration from which no route table can be built leaves the one before in force.

--- a/src/node/quarantine/quarantine-rows.ts
+++ b/src/node/quarantine/quarantine-rows.ts
@@ -1,8 +1,10 @@
 /** Keeps the quarantine in the store, so that nodes that start or were cut off know it. */
+import * as z from "zod/mini";
 import { rendezvousOwner } from "../common/hash.js";
 import type { Clock } from "../common/clock.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
+import { createRowReader } from "../replica/row-reader.js";
 import type { RowChange, RowReplica } from "../replica/row-replica.js";
 import type { SharedStore } from "../replica/shared-store.js";
 import type { Quarantine } from "./quarantine.js";
@@ -21,10 +23,12 @@
     readonly logger: Logger;
 }
 
-interface QuarantineRow {
+const quarantineRow = z.object({
     /** Time of the store's clock, milliseconds. */
-    readonly lastCrashAt: number;
-}
+    lastCrashAt: z.number(),
+});
+
+type QuarantineRow = z.infer<typeof quarantineRow>;
 
 const KEY_PREFIX = "quarantine/";
 
@@ -43,9 +47,11 @@
     const { quarantine, replica, store, clock, logger } = options;
     /** Suspects that have a row. The rows of those that the quarantine does not hold are removed. */
     const stored = new Set<string>();
+    const readRow = createRowReader<QuarantineRow>(quarantineRow, logger);
     let isWriting = false;
 
-    const applyRow = ({ key, value }: RowChange): void => {
+    const applyRow = (row: RowChange): void => {
+        const { key, value } = row;
         if (!key.startsWith(KEY_PREFIX)) {
             return;
         }
@@ -55,10 +61,13 @@
             quarantine.release(suspect, "its row was removed from the store");
             return;
         }
-        const { lastCrashAt } = JSON.parse(value) as QuarantineRow;
+        const content = readRow(row);
+        if (content === undefined) {
+            return;
+        }
         const offset = options.clockOffset();
         stored.add(suspect);
-        quarantine.restore(suspect, offset === undefined ? clock.now() : lastCrashAt - offset);
+        quarantine.restore(suspect, offset === undefined ? clock.now() : content.lastCrashAt - offset);
     };
 
     const write = async (suspect: string, row: QuarantineRow | undefined): Promise<void> => {
@@ -89,8 +98,8 @@
         const offset = options.clockOffset();
         const entries = quarantine.entries();
         for (const [suspect, lastCrashAt] of entries) {
-            const text = replica.get(`${KEY_PREFIX}${suspect}`)?.value;
-            const storedAt = text === undefined ? undefined : (JSON.parse(text) as QuarantineRow).lastCrashAt;
+            const row = replica.get(`${KEY_PREFIX}${suspect}`);
+            const storedAt = row === undefined ? undefined : readRow(row)?.lastCrashAt;
             const isStored =
                 offset === undefined ||
                 (storedAt !== undefined && lastCrashAt + offset - storedAt < RENEWAL_MILLISECONDS);
--- a/src/node/router/node-list.ts
+++ b/src/node/router/node-list.ts
@@ -1,7 +1,9 @@
 /** Nodes of the deployment. Each node announces itself in the store. */
+import * as z from "zod/mini";
 import { rendezvousOrder } from "../common/hash.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
+import { createRowReader } from "../replica/row-reader.js";
 import type { RowReplica } from "../replica/row-replica.js";
 import type { SharedStore } from "../replica/shared-store.js";
 
@@ -46,6 +48,16 @@
 
 const KEY_PREFIX = "node/";
 
+const nodeRow = z.object({
+    id: z.string(),
+    dataCentre: z.string(),
+    peerAddress: z.string(),
+    address: z.string(),
+    linkMegabitsPerSecond: z.optional(z.number()),
+    region: z.optional(z.string()),
+    handoverAddress: z.optional(z.string()),
+});
+
 /**
  * Number of nodes assumed before the list is read. Exceeds most deployments, so shares are too small
  * rather than too large.
@@ -59,11 +71,12 @@
     const { self, replica, store, logger } = options;
     const key = `${KEY_PREFIX}${self.id}`;
     const value = JSON.stringify(self);
+    const readNode = createRowReader<NodeEntry>(nodeRow, logger);
     let cached: readonly NodeEntry[] = [];
     let ids: readonly string[] = [];
     replica.onChange(changes => {
         if (changes.some(change => change.key.startsWith(KEY_PREFIX))) {
-            cached = replica.list(KEY_PREFIX).map(row => JSON.parse(row.value!) as NodeEntry);
+            cached = replica.list(KEY_PREFIX).flatMap(row => readNode(row) ?? []);
             ids = cached.map(entry => entry.id);
             logger.info("The list of nodes changed.", { nodes: cached.length, revision: replica.revision });
         }
--- a/src/node/router/operator-state.ts
+++ b/src/node/router/operator-state.ts
@@ -38,8 +38,11 @@
 
     const put = (row: RowChange): void => {
         let order: OperatorOrder | undefined;
+        let decodedTable: RouteTable | undefined;
         try {
             order = options.decode(row);
+            decodedTable =
+                order?.kind === "configuration" ? createRouteTable(order.configuration) : undefined;
         }
         catch (error) {
             logger.error("Could not read an order; going on with the one before.", {
@@ -53,8 +56,8 @@
             return;
         }
         orders.set(row.key, order);
-        if (order.kind === "configuration") {
-            table = createRouteTable(order.configuration);
+        if (order.kind === "configuration" && decodedTable !== undefined) {
+            table = decodedTable;
             logger.info("A configuration is in force.", {
                 version: order.configuration.version,
                 revision: row.revision,
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -2,11 +2,13 @@
  * Advances the traffic shifts of all services: writes their state and this node's evidence to the store, and
  * reads what the other nodes wrote. Any node may write a state, on condition that the row is unchanged.
  */
+import * as z from "zod/mini";
 import type { Clock } from "../common/clock.js";
 import { hashToUnit } from "../common/hash.js";
 import type { AttemptTiming } from "../forwarding/attempt.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
+import { createRowReader } from "../replica/row-reader.js";
 import type { RowReplica } from "../replica/row-replica.js";
 import type { RowWrite, SharedStore } from "../replica/shared-store.js";
 import type { VersionPreference } from "../upstream-table/upstream-choice.js";
@@ -40,6 +42,7 @@
     decodeEvidence,
     encodeEvidence,
     mergeEvidence,
+    wireEvidence,
 } from "./shift-evidence.js";
 import type { AnswerOutcome, EvidenceAssessment, EvidenceTable, WireEvidence } from "./shift-evidence.js";
 
@@ -168,6 +171,18 @@
     isWriting: boolean;
 }
 
+const stateRow = z.object({
+    orderRevision: z.number(),
+    version: z.string(),
+    stage: z.enum(["canary", "full", "completed", "rolled-back"]),
+    startedAt: z.number(),
+    epoch: z.optional(z.number()),
+});
+
+const sessionsRow = z.object({ orderRevision: z.number(), sessions: z.array(z.string()) });
+
+const evidenceRow = z.object({ orderRevision: z.number(), evidence: wireEvidence });
+
 interface SessionsRow {
     readonly orderRevision: number;
     readonly sessions: readonly string[];
@@ -196,9 +211,13 @@
     const finalReportPosition = hashToUnit(`final\u0000${options.node}`);
     const shifts = new Map<string, TrackedShift>();
 
+    const readState = createRowReader<ShiftState>(stateRow, logger);
+    const readSessions = createRowReader<SessionsRow>(sessionsRow, logger);
+    const readEvidence = createRowReader<EvidenceRow>(evidenceRow, logger);
+
     const readStoredState = (order: ShiftOrder): ShiftState | undefined => {
         const row = replica.get(stateKey(order.service));
-        const state = row === undefined ? undefined : (JSON.parse(row.value!) as ShiftState);
+        const state = row === undefined ? undefined : readState(row);
         return state !== undefined && isStateOf(state, order) ? state : undefined;
     };
 
@@ -356,7 +375,7 @@
         if (sessions === undefined) {
             const rows = replica
                 .list(`${SESSIONS_PREFIX}${order.service}/`)
-                .map(row => JSON.parse(row.value!) as SessionsRow)
+                .flatMap(row => readSessions(row) ?? [])
                 .filter(row => row.orderRevision === order.revision);
             sessions = new Set(rows.flatMap(row => row.sessions));
             collectedByService.set(order.service, sessions);
@@ -389,7 +408,7 @@
             const rows = replica
                 .list(`${EVIDENCE_PREFIX}${service}/`)
                 .filter(row => row.key !== evidenceKey(service))
-                .map(row => JSON.parse(row.value!) as EvidenceRow)
+                .flatMap(row => readEvidence(row) ?? [])
                 .filter(row => row.orderRevision === revision);
             others = mergeEvidence(rows.map(row => decodeEvidence(row.evidence)));
             reportedByService.set(service, others);
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -5,6 +5,7 @@
  * single one, from the start or from a later period on. The tests average over these hypotheses, so that
  * earlier answers and sound routes do not hide a fault.
  */
+import * as z from "zod/mini";
 import type { AttemptTiming } from "../forwarding/attempt.js";
 import { addCounters, countAnswer, NO_COUNTERS } from "../rollout/counters.js";
 import type { Counters } from "../rollout/counters.js";
@@ -186,11 +187,19 @@
     return merged;
 }
 
+const wireCount = z.number().check(z.nonnegative());
+
 /** Answers, errors, and the count, sum and sum of squares of the logarithmic latencies. */
-type WireCounters = readonly [number, number, number, number, number];
+const wireCounters = z.readonly(z.tuple([wireCount, wireCount, wireCount, z.number(), z.number()]));
+
+type WireCounters = z.infer<typeof wireCounters>;
 
 /** Evidence as stored in a node's row: counters of the new and the old version, by stratum. */
-export type WireEvidence = Readonly<Record<string, readonly [WireCounters, WireCounters]>>;
+export const wireEvidence = z.readonly(
+    z.record(z.string(), z.readonly(z.tuple([wireCounters, wireCounters]))),
+);
+
+export type WireEvidence = z.infer<typeof wireEvidence>;
 
 /** Decimals of stored sums. The rounding error is far below the variance of a single latency. */
 const WIRE_DECIMALS = 4;
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -1,5 +1,6 @@
 /** Exchanges load reports with the other nodes as UDP datagrams. */
 import { createSocket } from "node:dgram";
+import * as z from "zod/mini";
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { PeerStates } from "../handover/helpers.js";
@@ -42,6 +43,62 @@
     news?: WireNews,
 ];
 
+/** Tolerated difference of the clocks of two nodes, milliseconds. */
+const MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS = 10_000;
+
+/** Milliseconds since an observation. */
+const wireAge = z.number().check(z.gte(-MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS));
+
+const wireNews = z.object({
+    quarantine: z.optional(
+        z.object({
+            crashes: z.array(
+                z.tuple([z.string(), wireAge, z.literal([0, 1]), z.array(z.tuple([z.string(), z.number()]))]),
+            ),
+            answers: z.array(z.tuple([z.string(), wireAge])),
+            quarantined: z.array(z.tuple([z.string(), wireAge])),
+        }),
+    ),
+    limits: z.optional(z.array(z.tuple([z.string(), z.number(), wireAge]))),
+    brittle: z.optional(z.array(z.tuple([z.string(), wireAge]))),
+    isolated: z.optional(z.boolean()),
+});
+
+function isLoad(entry: unknown): boolean {
+    return (
+        Array.isArray(entry) &&
+        typeof entry[0] === "string" &&
+        entry.slice(1).length === 3 &&
+        entry.slice(1).every(value => typeof value === "number" && value >= 0)
+    );
+}
+
+/**
+ * Decodes a datagram, which any process on the network can send. The loads are checked without a schema, as
+ * a node receives hundreds of reports per second.
+ *
+ * @throws Error when it is not a load report.
+ */
+function decodeReport(text: string): WireReport {
+    const report: unknown = JSON.parse(text);
+    if (!Array.isArray(report)) {
+        throw new TypeError("the report is not a list");
+    }
+    const [node, loads, ejected, news] = report as readonly unknown[];
+    if (typeof node !== "string" || !Array.isArray(loads) || !loads.every(isLoad)) {
+        throw new TypeError("the report does not hold the loads of a node");
+    }
+    if (!Array.isArray(ejected) || !ejected.every(id => typeof id === "string")) {
+        throw new TypeError("the report does not list the ejected upstreams");
+    }
+    return [
+        node,
+        loads as WireReport[1],
+        ejected as readonly string[],
+        news === undefined ? undefined : wireNews.parse(news),
+    ];
+}
+
 /** What a report holds beside the loads, when there is something. */
 interface WireNews {
     readonly quarantine?: QuarantineReport;
@@ -123,7 +180,7 @@
             return;
         }
         try {
-            const [node, entries, ejected, news] = JSON.parse(message.toString()) as WireReport;
+            const [node, entries, ejected, news] = decodeReport(message.toString());
             const loads = new Map(
                 entries.map(([id, pendingTokens, requests, heldTokens]): [string, Load] => [
                     id,
