Test new versions under the load of the whole service

Cause: the canary met the load once in 35 requests. One upstream got as many requests as it would with all of them, 0.7 in flight, and the fault needs three of six slots.

Change: in the second part of the canary all requests without a session run on one upstream of the old version, then on one of the new, within the node's part of the exposure. Answers under load are groups of their own. A version whose errors exceed the old one's by three standard deviations, at any load or at one, is in doubt: no more sessions, and a roll-back when its time ends. The log of a change of stage names the groups, and the log of an attempt the requests in flight.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -39,6 +39,7 @@
     sharedTokens,
 } from "./request-shape.js";
 import { pauseAfterRejection } from "./rejection-pause.js";
+import { evidenceGroupOf } from "../shifts/shift-evidence.js";
 import type { AnswerOutcome } from "../shifts/shift-evidence.js";
 import type { ServiceRetryBudget } from "./retry-budget.js";
 
@@ -128,10 +129,14 @@
     ) => void;
     /** Counts an attempt whose upstream broke off before the answer (`hasBegun` false) or within it. */
     readonly countBrokenOff: (service: string, hasBegun: boolean) => void;
-    /** Records the outcome of an attempt as evidence about the upstream's version. */
+    /**
+     * Records the outcome of an attempt as evidence about the upstream's version.
+     *
+     * @param group Answers that are compared between the versions.
+     */
     readonly recordEvidence: (
         upstream: RegisteredUpstream,
-        stratum: string,
+        group: string,
         outcome: AnswerOutcome,
         timing: AttemptTiming,
     ) => void;
@@ -319,6 +324,8 @@
             const sentAt = clock.now();
             const eventsBefore = sink.eventCount();
             const stratum = `${route.name}\u0000${usedModel ?? ""}`;
+            const requestsInFlight = options.loads.total(upstream.entry.id, sentAt).requests;
+            const group = evidenceGroupOf(stratum, requestsInFlight, upstream.entry.slots, choice.isTest);
             let headMilliseconds: number | undefined;
             let headConfidence: number | undefined;
             let limitPerSecond: number | undefined;
@@ -339,6 +346,8 @@
                 score: Math.round(choice.score * 10) / 10,
                 runnerUp: choice.runnerUp,
                 candidates: choice.candidates,
+                requestsInFlight,
+                loadTest: choice.isTest ? true : undefined,
                 remainingMilliseconds: Math.round(deadline - sentAt),
                 resumeAfter: sink.lastEventId(),
             });
@@ -441,7 +450,7 @@
             const outcome = answerOutcomeOf(result);
             // A retry is not independent of the attempt before: the request itself may fail everywhere.
             if (outcome !== undefined && executions === 0) {
-                options.recordEvidence(upstream, stratum, outcome, {
+                options.recordEvidence(upstream, group, outcome, {
                     ...timing,
                     headMilliseconds: headMilliseconds ?? endedAt - sentAt,
                 });
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -211,6 +211,23 @@
         nodeCount: () => nodes.count(),
         upstreamCount: (service, version) =>
             upstreams.usable(service).filter(({ entry }) => entry.version === version).length,
+        loadOf: (service, version) => {
+            // An engine batches requests: each slows the others down, and a burst of prompts stops its streams.
+            const isEngine =
+                operators.routes()?.configuration.services.get(service)?.engineTokens !== undefined;
+            const known = upstreams.usable(service);
+            const slots = known
+                .filter(({ entry }) => entry.version === version)
+                .map(({ entry }) => entry.slots);
+            if (isEngine || slots.length === 0) {
+                return undefined;
+            }
+            const requests = known.map(({ entry }) => loads.total(entry.id, clock.now()).requests);
+            return {
+                requestsInFlight: requests.reduce((sum, count) => sum + count, 0),
+                slots: Math.min(...slots),
+            };
+        },
         encodeReport: (order, stage) => adapter.encodeShiftReport(order, stage),
         settings: durationMilliseconds =>
             resolveShiftSettings(
@@ -310,6 +327,13 @@
         logger: createLogger("loads"),
     });
 
+    /** Whether a request of a load test was sent under load is known from the reports of the other nodes. */
+    const reportDuringLoadTest = (service: string): void => {
+        if (shifts.rule(service).loadTest !== undefined) {
+            loadReports.sendSoon();
+        }
+    };
+
     const forwarderOptions: RequestForwarderOptions = {
         loads,
         clock,
@@ -335,6 +359,7 @@
                 sessions.record(key, entry.version, clock.now());
             }
             shifts.recordSend(entry.service, entry.version, isSession ? key : undefined);
+            reportDuringLoadTest(entry.service);
         },
         retryBudget: createServiceRetryBudget({
             ratio: config.retries.ratio * USED_RETRY_RATIO_SHARE,
@@ -378,8 +403,10 @@
         },
         countBrokenOff: (service, hasBegun) =>
             metrics.count("attempts_broken_off_total", { service, begun: String(hasBegun) }),
-        recordEvidence: ({ entry, process }, stratum, outcome, timing) =>
-            shifts.record(entry.service, entry.version, stratum, outcome, timing, process),
+        recordEvidence: ({ entry, process }, group, outcome, timing) => {
+            shifts.record(entry.service, entry.version, group, outcome, timing, process);
+            reportDuringLoadTest(entry.service);
+        },
         nodeCount: () => nodes.count(),
         recordLeaving: upstream => upstreams.recordLeaving(upstream),
         recordUnanswered: ({ entry }) => reachability.recordFailure(entry.address),
--- a/src/node/shifts/__tests__/exposure.spec.ts
+++ b/src/node/shifts/__tests__/exposure.spec.ts
@@ -16,11 +16,19 @@
     context: TestContext,
     fault: SimulatedFault | undefined,
     requestsPerSecond = 19,
+    workMilliseconds?: number,
 ): Promise<readonly ShiftOutcome[]> {
     const outcomes: ShiftOutcome[] = [];
     for (const seed of SEEDS) {
         outcomes.push(
-            await simulateShift(context, { seed, nodes: 8, requestsPerSecond, routes: ROUTES, fault }),
+            await simulateShift(context, {
+                seed,
+                nodes: 8,
+                requestsPerSecond,
+                workMilliseconds,
+                routes: ROUTES,
+                fault,
+            }),
         );
     }
     return outcomes;
@@ -50,6 +58,12 @@
     assert.deepEqual(seedsOutOfBounds(outcomes), []);
 });
 
+test("exposure stays within its bounds when a version fails once half of its slots are in use", async context => {
+    const fault: SimulatedFault = { kind: "half of the slots", share: 0.5 };
+    assert.deepEqual(seedsOutOfBounds(await simulateShifts(context, fault, 48, 30)), []);
+    assert.deepEqual(seedsOutOfBounds(await simulateShifts(context, fault, 19, 86)), []);
+});
+
 test("exposure stays within its bounds when a version turns bad late", async context => {
     const outcomes = await simulateShifts(context, { kind: "late", share: 0.5, startsAt: 3000 });
     assert.deepEqual(seedsOutOfBounds(outcomes), []);
--- a/src/node/shifts/__tests__/shift-nodes.ts
+++ b/src/node/shifts/__tests__/shift-nodes.ts
@@ -4,6 +4,7 @@
 import { createRowReplica, preferStored } from "../../replica/row-replica.js";
 import type { SharedStore, StoreTransaction } from "../../replica/shared-store.js";
 import { createShiftCoordinator } from "../shift-coordinator.js";
+import type { ServiceLoad } from "../exposure-plan.js";
 import type { ShiftOrder, ShiftSettings } from "../shift.js";
 
 /** Upstreams of each version. */
@@ -16,7 +17,12 @@
     readonly revision: number;
 }
 
-export function createShiftNodes(names: readonly string[], order: ShiftOrder, settings: ShiftSettings) {
+export function createShiftNodes(
+    names: readonly string[],
+    order: ShiftOrder,
+    settings: ShiftSettings,
+    loadOf: () => ServiceLoad | undefined = () => undefined,
+) {
     let rows = new Map<string, { readonly value: string; readonly revision: number }>();
     const replicas = names.map(() => createRowReplica(preferStored));
     let currentOrder = order;
@@ -60,6 +66,7 @@
             clockOffset: () => 0,
             nodeCount: () => names.length,
             upstreamCount: () => UPSTREAMS,
+            loadOf,
             encodeReport: (_order, stage) => ({ table: "reports", key: "shift", value: stage }),
             settings: () => settings,
             clock: { now: Date.now, wallTime: Date.now },
--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -4,7 +4,13 @@
 import type { TestContext } from "node:test";
 import fc from "fast-check";
 import { createSeededRandom } from "../../common/random.js";
-import { planCanaryShare, resolveShiftSettings } from "../exposure-plan.js";
+import {
+    loadTestPhase,
+    planCanaryShare,
+    resolveShiftSettings,
+    testedUpstreamCount,
+} from "../exposure-plan.js";
+import type { LoadTestPhase } from "../exposure-plan.js";
 import { laterState, nextStage, versionPreference, versionRule } from "../shift.js";
 import type { ShiftOrder, ShiftStage, ShiftState, ShiftedRequest } from "../shift.js";
 import {
@@ -12,6 +18,7 @@
     countEvidence,
     decodeEvidence,
     encodeEvidence,
+    evidenceGroupOf,
     mergeEvidence,
 } from "../shift-evidence.js";
 import type { AnswerOutcome, EvidenceTable, WireEvidence } from "../shift-evidence.js";
@@ -336,7 +343,16 @@
     // 400 attempts in all, of which 20 and a quarter of 20 more may be new.
     const bounds = { ...settings, canaryShare: 0.1, fullAt: 0.5, canaryRequests: 20 };
     const shareAt = (progress: number, attempts: number, newAttempts: number): number =>
-        planCanaryShare(progress, { attempts, newAttempts }, 4, 4, bounds);
+        planCanaryShare(
+            {
+                progress,
+                traffic: { attempts, newAttempts },
+                nodeCount: 4,
+                upstreamCount: 4,
+                phase: undefined,
+            },
+            bounds,
+        );
     assert.ok(Math.abs(shareAt(0.2, 80, 1) - 24 / 120 / 2) < 1e-9, "half of the even share");
     assert.equal(shareAt(0.25, 100, 6), 1 / 4, "one of four upstreams bears a quarter");
     assert.ok(Math.abs(shareAt(0.4, 160, 24) - 1 / 40) < 1e-9, "what is left");
@@ -345,6 +361,58 @@
     assert.equal(shareAt(0.01, 100, 30), 0.1);
 });
 
+test("a load test gives all requests to the old version, then to the new one until the exposure is spent", () => {
+    const bounds = { ...settings, canaryShare: 0.1, fullAt: 0.8, canaryRequests: 20 };
+    const phases = [5000, 7300, 8600, 11_000, 11_700, 16_500].map(elapsed =>
+        loadTestPhase(elapsed, 20_000, bounds),
+    );
+    assert.deepEqual(phases, [undefined, "old version", "new version", "new version", undefined, undefined]);
+    const shareIn = (phase: LoadTestPhase, newAttempts: number): number =>
+        planCanaryShare(
+            {
+                progress: 0.45,
+                traffic: { attempts: 180, newAttempts },
+                nodeCount: 4,
+                upstreamCount: 4,
+                phase,
+            },
+            bounds,
+        );
+    assert.equal(shareIn("old version", 5), 0);
+    assert.equal(shareIn("new version", 5), 1);
+    assert.ok(shareIn("new version", 34) < 0.05, "what is left for the end of the canary");
+});
+
+test("a load test uses one upstream until its slots fill up, and only for requests without a session", () => {
+    const counts = [0, 4, 5, 9, 10].map(requestsInFlight =>
+        testedUpstreamCount({ requestsInFlight, slots: 6 }),
+    );
+    assert.deepEqual(counts, [1, 1, 2, 2, 3]);
+    const loadTest = { phase: "new version", upstreams: 2 } as const;
+    const rule = versionRule(order, canary, { ...view, singleShare: 1, loadTest }, settings);
+    const single = { key: "r1", isSession: false, lastVersion: undefined };
+    assert.equal(versionPreference(rule, single, new Set())?.testedUpstreams, 2);
+    assert.equal(versionPreference(rule, single, new Set(["v2"]))?.testedUpstreams, undefined);
+    assert.equal(versionPreference(rule, session("s1", "v2"), new Set())?.testedUpstreams, undefined);
+});
+
+test("a version that fails only under load is in doubt, whatever the answers without load", () => {
+    let table: EvidenceTable = {};
+    const add = (isNew: boolean, requestsInFlight: number, errors: number, answers: number): void => {
+        const group = evidenceGroupOf("reports", requestsInFlight, 6, false);
+        for (let index = 0; index < answers; index++) {
+            table = countEvidence(table, group, 0, isNew, outcomeOf(index >= errors), fastTiming);
+        }
+    };
+    add(false, 0, 40, 400);
+    add(true, 0, 4, 60);
+    add(false, 3, 4, 60);
+    add(true, 3, 0, 10);
+    assert.equal(assessEvidence(table).isDoubtful, false);
+    add(true, 2, 8, 10);
+    assert.equal(assessEvidence(table).isDoubtful, true);
+});
+
 test("the schedule keeps the bound if a fault is never found", () => {
     for (const exposureShare of [0.01, 0.05, 0.1, 0.15, 0.3, 1]) {
         for (const duration of [5000, 16_000, 24_000, 3_600_000]) {
--- a/src/node/shifts/__tests__/simulated-shift.ts
+++ b/src/node/shifts/__tests__/simulated-shift.ts
@@ -4,6 +4,7 @@
 import type { Random } from "../../common/random.js";
 import type { ShiftOrder } from "../shift.js";
 import { resolveShiftSettings } from "../exposure-plan.js";
+import { evidenceGroupOf } from "../shift-evidence.js";
 import { UPSTREAMS, advanceTime, createShiftNodes } from "./shift-nodes.js";
 
 export interface SimulatedRoute {
@@ -18,7 +19,7 @@
 
 /** What is wrong with the new version, for a share of its answers. */
 export interface SimulatedFault {
-    readonly kind: "errors" | "slow" | "under load" | "one route" | "late";
+    readonly kind: "errors" | "slow" | "under load" | "half of the slots" | "one route" | "late";
     readonly share: number;
     /** Start of a fault that shows late, milliseconds after the order. */
     readonly startsAt?: number;
@@ -29,6 +30,8 @@
     readonly nodes: number;
     /** First requests per second; callers send a failed request once more. */
     readonly requestsPerSecond: number;
+    /** Mean time that an upstream works on a request, milliseconds. @default 86 */
+    readonly workMilliseconds?: number;
     readonly routes: readonly SimulatedRoute[];
     readonly fault: SimulatedFault | undefined;
 }
@@ -50,6 +53,8 @@
 const BAD_ANSWERS = 50;
 const MEAN_WORK_MILLISECONDS = 86;
 const SLOWDOWN = 8;
+const SLOTS = 6;
+const PLACE_SEED_OFFSET = 1000;
 
 export const EXPOSURE_SHARE = 0.15;
 export const EXPOSURE_REQUESTS = 30;
@@ -82,6 +87,8 @@
 export async function simulateShift(context: TestContext, scenario: ShiftScenario): Promise<ShiftOutcome> {
     context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
     const random = createSeededRandom(scenario.seed);
+    /** Draws where and when requests arrive, so that these draws leave the others as they are. */
+    const randomPlace = createSeededRandom(scenario.seed + PLACE_SEED_OFFSET);
     const { fault, routes } = scenario;
     const settings = resolveShiftSettings(
         {
@@ -92,7 +99,13 @@
         DURATION_MILLISECONDS,
     );
     const names = Array.from({ length: scenario.nodes }, (_, index) => `n${index}`);
-    const nodes = createShiftNodes(names, order, settings);
+    /** Ends of the requests in flight, by version and upstream. */
+    const ends = new Map<string, number[]>();
+    let now = 0;
+    const nodes = createShiftNodes(names, order, settings, () => ({
+        requestsInFlight: [...ends.values()].flat().filter(end => end > now).length,
+        slots: SLOTS,
+    }));
     await nodes.lifecycle.start();
     let newAttempts = 0;
     let attempts = 0;
@@ -102,7 +115,14 @@
     let newShare = 0;
     let requests = 0;
 
-    const isBad = (route: SimulatedRoute, elapsed: number, usedUpstreams: number): boolean => {
+    const workMilliseconds = scenario.workMilliseconds ?? MEAN_WORK_MILLISECONDS;
+
+    const isBad = (
+        route: SimulatedRoute,
+        elapsed: number,
+        usedUpstreams: number,
+        requestsInFlight: number,
+    ): boolean => {
         if (fault === undefined || random() >= fault.share) {
             return false;
         }
@@ -111,6 +131,8 @@
                 return route === routes[0];
             case "late":
                 return elapsed >= (fault.startsAt ?? 0);
+            case "half of the slots":
+                return requestsInFlight + 1 >= SLOTS / 2;
             case "under load":
                 return random() < (newShare * UPSTREAMS) / usedUpstreams;
             default:
@@ -118,7 +140,8 @@
         }
     };
 
-    const runRequest = (elapsed: number): boolean => {
+    const runRequest = (elapsed: number, arrivedAt: number): boolean => {
+        now = arrivedAt;
         const route = pickRoute(routes, random());
         const coordinator = nodes.coordinators[Math.floor(random() * names.length)]!;
         const fails = random() < route.errorShare;
@@ -129,10 +152,14 @@
             const request = { key, isSession: false, lastVersion: undefined };
             const preference = coordinator.preference("app", request, failedVersions);
             const isNew = preference?.matches("v2") ?? coordinator.rule("app").isAllowed("v2");
-            const used = Math.ceil((isNew ? (preference?.upstreamShare ?? 1) : 1) * UPSTREAMS);
+            const share = isNew ? (preference?.upstreamShare ?? 1) : 1;
+            const used = preference?.testedUpstreams ?? Math.ceil(share * UPSTREAMS);
+            const upstream = `${isNew ? "v2" : "v1"} ${Math.floor(randomPlace() * used)}`;
+            const open = (ends.get(upstream) ?? []).filter(end => end > arrivedAt);
             coordinator.recordSend("app", isNew ? "v2" : "v1", undefined);
-            const work = -Math.log(1 - random()) * MEAN_WORK_MILLISECONDS;
-            const bad = isNew && isBad(route, elapsed, used);
+            const work = -Math.log(1 - random()) * workMilliseconds;
+            const bad = isNew && isBad(route, elapsed, used, open.length);
+            ends.set(upstream, [...open, arrivedAt + work]);
             const isSlow = bad && fault?.kind === "slow";
             const succeeded = !fails && (!bad || isSlow);
             if (isNew && lastBadAt !== undefined && elapsed > lastBadAt + ROLLBACK_MILLISECONDS) {
@@ -151,7 +178,12 @@
                 coordinator.record(
                     "app",
                     isNew ? "v2" : "v1",
-                    route.name,
+                    evidenceGroupOf(
+                        route.name,
+                        open.length,
+                        SLOTS,
+                        preference?.testedUpstreams !== undefined,
+                    ),
                     succeeded ? "succeeded" : "failed",
                     { headMilliseconds, paceMilliseconds: undefined },
                     "process",
@@ -167,9 +199,10 @@
     for (let elapsed = 0; elapsed < END_MILLISECONDS; elapsed += STEP_MILLISECONDS) {
         const attemptsBefore = [attempts, newAttempts];
         const arrivals = countArrivals(random, (scenario.requestsPerSecond * STEP_MILLISECONDS) / 1000);
-        for (let arrival = 0; arrival < arrivals; arrival++) {
-            if (!runRequest(elapsed)) {
-                runRequest(elapsed);
+        const times = Array.from({ length: arrivals }, () => elapsed + randomPlace() * STEP_MILLISECONDS);
+        for (const time of times.sort((first, second) => first - second)) {
+            if (!runRequest(elapsed, time)) {
+                runRequest(elapsed, time);
             }
         }
         const [all, added] = [attempts - attemptsBefore[0]!, newAttempts - attemptsBefore[1]!];
--- a/src/node/shifts/exposure-plan.ts
+++ b/src/node/shifts/exposure-plan.ts
@@ -12,10 +12,10 @@
 const USED_SHARE = 0.92;
 
 /** Part of the used bound that is spent on the canary stage. */
-const CANARY_PART = 0.3;
+const CANARY_PART = 0.42;
 
 /** Time before the end of the duration at which a shift is completed, milliseconds. */
-const SETTLE_MILLISECONDS = 800;
+const SETTLE_MILLISECONDS = 500;
 
 /** Part of that time after which a version that is still in doubt is given up. */
 const DOUBT_PART = 0.3;
@@ -87,21 +87,77 @@
 const SAVING_PART = 0.45;
 
 /** Part of the even share that the load test leaves for the end of the canary stage. */
-const FINAL_EVEN_PART = 0.4;
+const FINAL_EVEN_PART = 0.25;
+
+/** Lengths of the phases of a load test, milliseconds. The second one ends earlier at a node without exposure left. */
+const OLD_VERSION_PHASE_MILLISECONDS = 1200;
+const NEW_VERSION_PHASE_MILLISECONDS = 3000;
+
+/** Share of the slots of the tested upstreams that the requests may fill. */
+const TESTED_SLOTS_SHARE = 0.75;
+
+/**
+ * Version whose tested upstreams get all requests without a session. The old version is the control: both bear
+ * the same requests, so queueing does not look like a fault of the new one.
+ */
+export type LoadTestPhase = "new version" | "old version";
+
+/**
+ * Returns the phase of the load test in the second part of the canary stage, the same at all nodes. `undefined`
+ * before and after it.
+ */
+export function loadTestPhase(
+    elapsedMilliseconds: number,
+    durationMilliseconds: number,
+    { fullAt }: ShiftSettings,
+): LoadTestPhase | undefined {
+    const canaryMilliseconds = fullAt * durationMilliseconds;
+    const position = elapsedMilliseconds - SAVING_PART * canaryMilliseconds;
+    if (position < 0 || elapsedMilliseconds >= canaryMilliseconds) {
+        return undefined;
+    }
+    if (position < OLD_VERSION_PHASE_MILLISECONDS) {
+        return "old version";
+    }
+    return position < OLD_VERSION_PHASE_MILLISECONDS + NEW_VERSION_PHASE_MILLISECONDS
+        ? "new version"
+        : undefined;
+}
+
+/** Load of a service. */
+export interface ServiceLoad {
+    /** Requests in flight at the upstreams of all versions. */
+    readonly requestsInFlight: number;
+    /** Slots of one upstream of the new version. */
+    readonly slots: number;
+}
+
+/** Number of upstreams that a load test uses: one, unless the requests in flight would fill its slots. */
+export function testedUpstreamCount({ requestsInFlight, slots }: ServiceLoad): number {
+    return Math.max(1, Math.ceil(requestsInFlight / Math.max(1, slots * TESTED_SLOTS_SHARE)));
+}
+
+/** What the share of a canary depends on besides its schedule. */
+export interface CanaryView {
+    /** Elapsed share of the duration. */
+    readonly progress: number;
+    readonly traffic: ShiftTraffic;
+    readonly nodeCount: number;
+    /** Upstreams of the new version. */
+    readonly upstreamCount: number;
+    /** `undefined` when no load test runs. */
+    readonly phase: LoadTestPhase | undefined;
+}
 
 /**
  * Returns the share of a node's requests without a session that run on the new version during the canary
  * stage. It spends the node's part of the bounds, so that services with few requests collect enough answers: a
- * little at first, then as much as loads one upstream like all requests on the new version would, and what is
- * left until the end. 0 when nothing is left.
+ * little at first, then in a load test, and what is left until the end. 0 when nothing is left.
  *
- * @param upstreamCount Upstreams of the new version.
+ * Without a load test, one upstream gets as much as it would if all requests ran on the new version.
  */
 export function planCanaryShare(
-    progress: number,
-    { attempts, newAttempts }: ShiftTraffic,
-    nodeCount: number,
-    upstreamCount: number,
+    { progress, traffic: { attempts, newAttempts }, nodeCount, upstreamCount, phase }: CanaryView,
     settings: ShiftSettings,
 ): number {
     if (progress < MINIMUM_PROGRESS) {
@@ -120,6 +176,9 @@
         return evenShare / 2;
     }
     const isLoadTest = evenShare >= FINAL_EVEN_PART * shareOver(allowed, settings.fullAt);
+    if (isLoadTest && phase !== undefined) {
+        return phase === "new version" ? 1 : 0;
+    }
     const loadShare = Math.min(MAXIMUM_CANARY_SHARE, 1 / Math.max(1, upstreamCount));
     return isLoadTest ? Math.max(evenShare, loadShare) : evenShare;
 }
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -12,8 +12,8 @@
 import type { RowReplica } from "../replica/row-replica.js";
 import type { RowWrite, SharedStore } from "../replica/shared-store.js";
 import type { VersionPreference } from "../upstream-table/upstream-choice.js";
-import { planCanaryShare } from "./exposure-plan.js";
-import type { ShiftTraffic } from "./exposure-plan.js";
+import { loadTestPhase, planCanaryShare, testedUpstreamCount } from "./exposure-plan.js";
+import type { ServiceLoad, ShiftTraffic } from "./exposure-plan.js";
 import {
     MINIMUM_ANSWERS,
     NO_RULE,
@@ -28,6 +28,7 @@
     versionRule,
 } from "./shift.js";
 import type {
+    LoadTest,
     ShiftedRequest,
     ShiftOrder,
     ShiftSettings,
@@ -40,6 +41,7 @@
     assessEvidence,
     countEvidence,
     decodeEvidence,
+    describeEvidence,
     encodeEvidence,
     mergeEvidence,
     wireEvidence,
@@ -87,6 +89,8 @@
     readonly nodeCount: () => number;
     /** Number of upstreams of a version that may receive requests. */
     readonly upstreamCount: (service: string, version: string) => number;
+    /** Load of a service that shifts to a version; `undefined` if its upstreams are not tested under load. */
+    readonly loadOf: (service: string, version: string) => ServiceLoad | undefined;
     /** Encodes the row that reports a shift's stage to the operators. */
     readonly encodeReport: (order: ShiftOrder, stage: ShiftStage) => RowWrite;
     /** Schedule of a shift of a duration, milliseconds. */
@@ -110,6 +114,9 @@
 /** Minimum delay after a write of a shift, milliseconds, also before the retry of a failed one. */
 const WRITE_RETRY_MILLISECONDS = 500;
 
+/** Minimum time between assessments before the full stage, milliseconds. An assessment costs milliseconds of a core. */
+const EARLY_ASSESSMENT_MILLISECONDS = 400;
+
 /** Logarithm of the likelihood ratio above which every node reports its evidence. */
 const SUSPICIOUS_LOG_RATIO = 0;
 
@@ -163,6 +170,7 @@
     /** Time since which the merged evidence has shown a regression; `undefined` while it shows none. */
     regressionSince: number | undefined;
     reportedAt: number;
+    assessedAt: number;
     nextWriteAt: number;
     /** Epoch of the store, to write the state and the report again after a restore. */
     epoch: number;
@@ -260,6 +268,7 @@
             regressionSince: undefined,
             hasReportedAnswers: false,
             reportedAt: 0,
+            assessedAt: -Infinity,
             nextWriteAt: now + firstWriteDelay(order.revision),
             epoch: replica.epoch,
             state: undefined,
@@ -349,15 +358,33 @@
         return offset === undefined ? undefined : clock.now() + offset;
     };
 
-    const singleShare = ({ state, order, traffic }: TrackedShift): number => {
+    const loadTestOf = ({ state, order }: TrackedShift): LoadTest | undefined => {
+        const time = storeTime();
+        if (state?.stage !== "canary" || time === undefined) {
+            return undefined;
+        }
+        const phase = loadTestPhase(time - state.startedAt, order.durationMilliseconds, settingsOf(order));
+        const load = phase === undefined ? undefined : options.loadOf(order.service, order.version);
+        return phase === undefined || load === undefined
+            ? undefined
+            : {
+                  phase,
+                  upstreams: testedUpstreamCount(load),
+              };
+    };
+
+    const singleShare = ({ state, order, traffic }: TrackedShift, loadTest: LoadTest | undefined): number => {
         const time = storeTime();
         return state === undefined || time === undefined
             ? 0
             : planCanaryShare(
-                  (time - state.startedAt) / order.durationMilliseconds,
-                  traffic,
-                  options.nodeCount(),
-                  options.upstreamCount(order.service, order.version),
+                  {
+                      progress: (time - state.startedAt) / order.durationMilliseconds,
+                      traffic,
+                      nodeCount: options.nodeCount(),
+                      upstreamCount: options.upstreamCount(order.service, order.version),
+                      phase: loadTest?.phase,
+                  },
                   settingsOf(order),
               );
     };
@@ -458,7 +485,9 @@
     const assess = (shift: TrackedShift): EvidenceAssessment => {
         const merged = assessEvidence(mergedEvidence(shift));
         const now = clock.now();
-        shift.isSuspicious = Math.max(merged.errorLogRatio, merged.latencyLogRatio) > SUSPICIOUS_LOG_RATIO;
+        shift.isSuspicious =
+            merged.isDoubtful ||
+            Math.max(merged.errorLogRatio, merged.latencyLogRatio) > SUSPICIOUS_LOG_RATIO;
         shift.regressionSince = merged.isRegression ? (shift.regressionSince ?? now) : undefined;
         const isConfirmed = now - (shift.regressionSince ?? now) >= CONFIRMATION_MILLISECONDS;
         const nodeAssessment = assessEvidence(shift.evidence, options.nodeCount());
@@ -518,6 +547,11 @@
             return;
         }
         const progress = (time - shift.state.startedAt) / order.durationMilliseconds;
+        const isEarly = progress < settingsOf(order).fullAt;
+        if (isEarly && clock.now() - shift.assessedAt < EARLY_ASSESSMENT_MILLISECONDS) {
+            return;
+        }
+        shift.assessedAt = clock.now();
         const assessment = assess(shift);
         const stage = nextStage(order, shift.state, assessment, time, settingsOf(order));
         if (stage !== undefined) {
@@ -531,6 +565,8 @@
                 referenceErrors: assessment.referenceErrors,
                 errorLogRatio: Math.round(assessment.errorLogRatio * 10) / 10,
                 latencyLogRatio: Math.round(assessment.latencyLogRatio * 10) / 10,
+                errorExcess: Math.round(assessment.errorExcess * 10) / 10,
+                groups: describeEvidence(mergedEvidence(shift)),
             });
         }
         if (stage === "rolled-back") {
@@ -558,11 +594,13 @@
                 ? laterState(stored, trackedState)
                 : (stored ?? trackedState);
         const sessions = tracked?.sessions;
+        const loadTest = tracked === undefined ? undefined : loadTestOf(tracked);
         const view: ShiftView = {
             storeTime: storeTime(),
             isCollected: sessionKey =>
                 sessions?.has(sessionKey) === true || collectedSessions(order).has(sessionKey),
-            singleShare: tracked === undefined ? 0 : singleShare(tracked),
+            singleShare: tracked === undefined ? 0 : singleShare(tracked, loadTest),
+            loadTest,
         };
         return versionRule(order, state, view, settingsOf(order));
     };
--- a/src/node/shifts/shift-evidence.ts
+++ b/src/node/shifts/shift-evidence.ts
@@ -12,6 +12,7 @@
 import { estimateDifference, logMeanExp, logRatioOfLoss } from "../rollout/sequential-test.js";
 import type { Stratum } from "../rollout/sequential-test.js";
 import { logRatioOfProportions } from "./proportion-test.js";
+import { excessFailures } from "./stratified-test.js";
 
 /** Counters of one stratum. A stratum holds comparable answers: one route and model in one period. */
 export interface StratumCounters {
@@ -59,6 +60,9 @@
 /** Probability, before any evidence, that a fault concerns all routes and not a single one. */
 const ALL_ROUTES_WEIGHT = 0.5;
 
+/** Probability, before any evidence, that a fault shows at any load and not at one of them. */
+const ANY_LOAD_WEIGHT = 0.5;
+
 /** Slowdown, as a difference of logarithms, up to which a latency is not a regression. */
 const LATENCY_MARGIN = Math.log(1.5);
 
@@ -73,6 +77,12 @@
 /** Logarithm of the likelihood ratio above which a version is not trusted with all requests. */
 const DOUBTFUL_LOG_RATIO = 0;
 
+/**
+ * Excess of errors at any load or at one of them, in standard deviations, above which a version is not trusted
+ * with all requests.
+ */
+const DOUBTFUL_EXCESS = 3;
+
 /** Errors of the new version below which its error rate is not tested. */
 const MINIMUM_ERRORS = 3;
 
@@ -94,9 +104,46 @@
     return `${group}${PERIOD_SEPARATOR}${period}`;
 }
 
+/** Separates the route of a group from its load; answers without load have none. */
+const LOAD_SEPARATOR = "\u0000load ";
+
+/** Share of an upstream's slots from which a request counts as one under load. */
+const LOADED_SLOTS_SHARE = 0.5;
+
+/**
+ * Whether a request is one under load.
+ *
+ * @param requestsInFlight Other requests at the same time.
+ */
+export function isHighLoad(requestsInFlight: number, slots: number): boolean {
+    return requestsInFlight + 1 >= Math.max(2, LOADED_SLOTS_SHARE * slots);
+}
+
+/**
+ * Group of answers that are compared between the versions. Answers under load form a group of their own, as a
+ * fault may show only there, and as the canary has fewer of them. So do those of a load test that met no load
+ * that this node knows of.
+ *
+ * @param route Route and model.
+ * @param requestsInFlight Other requests at the upstream when the request was sent.
+ */
+export function evidenceGroupOf(
+    route: string,
+    requestsInFlight: number,
+    slots: number,
+    isTest: boolean,
+): string {
+    const isHigh = isHighLoad(requestsInFlight, slots);
+    return isHigh || isTest ? `${route}${LOAD_SEPARATOR}${isHigh ? "high" : "test"}` : route;
+}
+
 /** Answers of one group in one period. */
 interface PeriodCounters extends StratumCounters {
     readonly period: number;
+    /** Route and model. */
+    readonly route: string;
+    /** Load of the upstream; empty when there was none. */
+    readonly load: string;
 }
 
 function countInStratum(
@@ -234,6 +281,8 @@
 export interface EvidenceAssessment {
     readonly isRegression: boolean;
     readonly isDoubtful: boolean;
+    /** Errors in excess of the old version's rates, at any load or at one of them, in standard deviations. */
+    readonly errorExcess: number;
     readonly answers: number;
     readonly errors: number;
     /** Answers of the new version with a slow head or pace. */
@@ -248,6 +297,20 @@
     readonly latencyLogRatio: number;
 }
 
+/**
+ * Describes the answers of each group for the log: errors and answers of the new version, then of the old one.
+ */
+export function describeEvidence(table: EvidenceTable): string {
+    return groupsOf(table, "")
+        .map(group => {
+            const { version, reference } = sumPeriods(group);
+            const { route, load } = group[0]!;
+            const name = [...route.split("\u0000"), load].filter(part => part !== "").join(" ");
+            return `${name} ${version.errors}/${version.answers} ${reference.errors}/${reference.answers}`;
+        })
+        .join("; ");
+}
+
 /** Sums the periods of a group: a variance within few answers would be unreliable. */
 function sumPeriods(group: readonly PeriodCounters[]): Stratum {
     const sum = (counters: readonly Counters[]): Counters => counters.reduce(addCounters, NO_COUNTERS);
@@ -272,9 +335,10 @@
         if (found !== suffix) {
             continue;
         }
-        const [group, period] = key.slice(0, key.length - suffix.length).split(PERIOD_SEPARATOR);
-        const periods = groups.get(group!) ?? [];
-        groups.set(group!, [...periods, { ...counters, period: Number(period ?? 0) }]);
+        const [group = "", period = "0"] = key.slice(0, key.length - suffix.length).split(PERIOD_SEPARATOR);
+        const [route = "", load = ""] = group.split(LOAD_SEPARATOR);
+        const periods = groups.get(group) ?? [];
+        groups.set(group, [...periods, { ...counters, period: Number(period), route, load }]);
     }
     return [...groups.values()];
 }
@@ -308,24 +372,85 @@
     return logMeanExp([0, logRatio]);
 }
 
-/** Log ratio of "answers fail more often", averaged over the periods and routes that a fault may concern. */
+/** Log ratio of "answers fail more often from a period on", averaged over the groups that a fault may concern. */
+function logRatioOfGroups(
+    groups: readonly (readonly PeriodCounters[])[],
+    firstPeriod: number,
+    oddsRatio: number,
+): number {
+    const ratios = groups.map(group => logRatioFrom(group, firstPeriod, oddsRatio));
+    const all = ratios.reduce((sum, ratio) => sum + halved(ratio), 0);
+    return logMixture(ALL_ROUTES_WEIGHT, all, logMeanExp(ratios));
+}
+
+function groupBy(
+    counters: readonly PeriodCounters[],
+    keyOf: (counters: PeriodCounters) => string,
+): readonly (readonly PeriodCounters[])[] {
+    const groups = new Map<string, PeriodCounters[]>();
+    for (const entry of counters) {
+        groups.set(keyOf(entry), [...(groups.get(keyOf(entry)) ?? []), entry]);
+    }
+    return [...groups.values()];
+}
+
+/**
+ * Log ratio of "answers fail more often", averaged over the periods, routes and loads that a fault may concern:
+ * it shows at any load, or at one of them.
+ */
 function logRatioOfFaults(groups: readonly (readonly PeriodCounters[])[], oddsRatio: number): number {
     const tested = groups.filter(group => group.some(({ version }) => version.answers > 0));
     if (tested.length === 0) {
         return 0;
     }
+    const routes = groupBy(tested.flat(), ({ route }) => route);
+    const loads = groupBy(tested.flat(), ({ load }) => load);
     const periods = [...new Set(tested.flatMap(group => group.map(({ period }) => period)))].sort(
         (first, second) => first - second,
     );
     const byPeriod = periods.map(period => {
-        const ratios = tested.map(group => logRatioFrom(group, period, oddsRatio));
-        const all = ratios.reduce((sum, ratio) => sum + halved(ratio), 0);
-        return logMixture(ALL_ROUTES_WEIGHT, all, logMeanExp(ratios));
+        const anyLoad = logRatioOfGroups(routes, period, oddsRatio);
+        const oneLoad = loads.map(load =>
+            logRatioOfGroups(
+                groupBy(load, ({ route }) => route),
+                period,
+                oddsRatio,
+            ),
+        );
+        return loads.length === 1 ? anyLoad : logMixture(ANY_LOAD_WEIGHT, anyLoad, logMeanExp(oneLoad));
     });
     const [first, ...later] = byPeriod;
     return later.length === 0 ? first! : logMixture(FIRST_PERIOD_WEIGHT, first!, logMeanExp(later));
 }
 
+function hasErrors(groups: readonly (readonly PeriodCounters[])[]): boolean {
+    const errors = groups.flat().reduce((sum, { version }) => sum + version.errors, 0);
+    return errors >= MINIMUM_ERRORS;
+}
+
+/** Largest excess of errors: at any load, or at one of them. 0 below the minimum number of errors. */
+function largestExcess(groups: readonly (readonly PeriodCounters[])[]): number {
+    const excessOf = (chosen: readonly (readonly PeriodCounters[])[]): number =>
+        hasErrors(chosen)
+            ? excessFailures(
+                  chosen.map(group => {
+                      const { version, reference } = sumPeriods(group);
+                      return {
+                          failures: version.errors,
+                          answers: version.answers,
+                          referenceFailures: reference.errors,
+                          referenceAnswers: reference.answers,
+                      };
+                  }),
+              )
+            : 0;
+    const loads = new Set(groups.map(([first]) => first!.load));
+    return Math.max(
+        excessOf(groups),
+        ...[...loads].map(load => excessOf(groups.filter(([first]) => first!.load === load))),
+    );
+}
+
 /**
  * @param tables Number of tables tested in parallel. Raises the threshold, as each could raise a false alarm.
  */
@@ -348,10 +473,13 @@
         logRatioOfFaults(slowHeads, SLOW_ODDS_RATIO),
         logRatioOfFaults(slowPaces, SLOW_ODDS_RATIO),
     );
+    const errorExcess = largestExcess(answers);
     const hasErrorRegression = total.errors >= MINIMUM_ERRORS && errorLogRatio >= alarmLogRatio;
     return {
         isRegression: hasErrorRegression || latencyLogRatio >= alarmLogRatio,
-        isDoubtful: Math.max(errorLogRatio, latencyLogRatio) > DOUBTFUL_LOG_RATIO,
+        isDoubtful:
+            errorExcess >= DOUBTFUL_EXCESS || Math.max(errorLogRatio, latencyLogRatio) > DOUBTFUL_LOG_RATIO,
+        errorExcess,
         answers: total.answers,
         errors: total.errors,
         slowAnswers: slowAnswers.reduce((sum, { version }) => sum + version.errors, 0),
--- a/src/node/shifts/shift.ts
+++ b/src/node/shifts/shift.ts
@@ -10,6 +10,7 @@
  */
 import { hashToUnit } from "../common/hash.js";
 import type { VersionPreference } from "../upstream-table/upstream-choice.js";
+import type { LoadTestPhase } from "./exposure-plan.js";
 
 /** The operators' request to shift a service. */
 export interface ShiftOrder {
@@ -86,6 +87,14 @@
     readonly isCollected: (sessionKey: string) => boolean;
     /** Share of this node's requests without a session on the new version during the canary stage. */
     readonly singleShare: number;
+    /** Load test that the requests without a session run. */
+    readonly loadTest?: LoadTest;
+}
+
+export interface LoadTest {
+    readonly phase: LoadTestPhase;
+    /** Number of upstreams of that version that get the requests. */
+    readonly upstreams: number;
 }
 
 /** What decides the version of a request. */
@@ -158,6 +167,7 @@
     readonly newShare: number;
     /** Whether a request that prefers the old version may run on the new one when it finds no other. */
     readonly mayOverflow: boolean;
+    readonly loadTest?: LoadTest;
 }
 
 /** Rule of a service that is not shifted. */
@@ -171,17 +181,31 @@
 
 /** Derives which version a request of a shifted service prefers. */
 export function versionPreference(
-    { prefersNew, newVersion, newShare, mayOverflow }: VersionRule,
+    { prefersNew, newVersion, newShare, mayOverflow, loadTest }: VersionRule,
     request: ShiftedRequest,
     failedVersions: ReadonlySet<string>,
 ): VersionPreference | undefined {
     if (prefersNew === undefined || newVersion === undefined) {
         return undefined;
     }
+    const testedUpstreams = (phase: LoadTestPhase): number | undefined =>
+        loadTest?.phase === phase && !request.isSession && failedVersions.size === 0
+            ? loadTest.upstreams
+            : undefined;
     // A failure of the new version may be its fault: the old one is the better choice for the retry.
     return prefersNew(request) && !failedVersions.has(newVersion)
-        ? { matches: version => version === newVersion, upstreamShare: newShare, allowsOthers: true }
-        : { matches: version => version !== newVersion, upstreamShare: 1, allowsOthers: mayOverflow };
+        ? {
+              matches: version => version === newVersion,
+              upstreamShare: newShare,
+              testedUpstreams: testedUpstreams("new version"),
+              allowsOthers: true,
+          }
+        : {
+              matches: version => version !== newVersion,
+              upstreamShare: 1,
+              testedUpstreams: testedUpstreams("old version"),
+              allowsOthers: mayOverflow,
+          };
 }
 
 /** Derives which versions of a service may get requests. Ignores a state that belongs to another order. */
@@ -218,7 +242,8 @@
                 },
                 newVersion,
                 newShare: Math.max(settings.canaryShare, view.singleShare),
-                mayOverflow: view.singleShare > 0,
+                mayOverflow: view.singleShare > 0 || view.loadTest?.phase === "old version",
+                loadTest: view.loadTest,
             };
         case "full": {
             const share = fullStageShare(order, current, view.storeTime, settings);
--- a/src/node/upstream-table/__tests__/upstream-choice.spec.ts
+++ b/src/node/upstream-table/__tests__/upstream-choice.spec.ts
@@ -182,3 +182,21 @@
     assert.equal(choose(false), undefined);
     assert.equal(choose(true)?.upstream.entry.id, "a");
 });
+
+test("a load test stays at its upstream when requests fail there, and leaves it when it rejects them", () => {
+    const upstreams = ["a", "b", "c", "d"].map(id => createTestUpstream(id, { version: "v2" }));
+    const versionPreference = {
+        matches: () => true,
+        upstreamShare: 1,
+        testedUpstreams: 1,
+        allowsOthers: true,
+    };
+    const choose = () => chooseUpstream(upstreams, createContext({ versionPreference }));
+    const first = choose()!;
+    assert.equal(first.isTest, true);
+    first.upstream.health.recordFailure(9_990);
+    first.upstream.health.recordFailure(9_990);
+    assert.equal(choose()?.upstream, first.upstream);
+    first.upstream.health.recordRejection(9_990);
+    assert.notEqual(choose()?.upstream, first.upstream);
+});
--- a/src/node/upstream-table/upstream-choice.ts
+++ b/src/node/upstream-table/upstream-choice.ts
@@ -19,6 +19,11 @@
      * they would if all requests ran on their version.
      */
     readonly upstreamShare: number;
+    /**
+     * Number of matching upstreams that get all of the requests, to see how the version bears load. Recorded
+     * failures do not spread the requests: they may be what the load causes.
+     */
+    readonly testedUpstreams?: number;
     /** Whether another version may serve the request when no matching upstream can. */
     readonly allowsOthers: boolean;
 }
@@ -57,6 +62,8 @@
     /** Id of another candidate; `undefined` when there is only one. */
     readonly runnerUp: string | undefined;
     readonly candidates: number;
+    /** The request is part of a load test. */
+    readonly isTest: boolean;
 }
 
 /** Prompt tokens of the largest model that an upstream processes per millisecond. */
@@ -156,6 +163,15 @@
     const preference = context.versionPreference;
     const matches = ({ entry }: RegisteredUpstream): boolean => preference?.matches(entry.version) ?? true;
     const matching = allowed.filter(matches);
+    if (preference?.testedUpstreams !== undefined) {
+        const tested = concentrate(
+            matching.filter(({ health }) => !health.isUnavailable(context.now)),
+            preference.testedUpstreams,
+        );
+        if (tested.length > 0) {
+            return tested;
+        }
+    }
     const healthy = matching.filter(upstream => !isAvoided(upstream, context));
     const candidates = healthy.length > 0 ? healthy : matching;
     if (preference === undefined) {
@@ -201,5 +217,11 @@
     }
     return best === undefined
         ? undefined
-        : { upstream: best, score: bestScore, runnerUp: runnerUp?.entry.id, candidates: candidates.length };
+        : {
+              upstream: best,
+              score: bestScore,
+              runnerUp: runnerUp?.entry.id,
+              candidates: candidates.length,
+              isTest: context.versionPreference?.testedUpstreams !== undefined,
+          };
 }
--- a/src/node/upstream-table/upstream-health.ts
+++ b/src/node/upstream-table/upstream-health.ts
@@ -9,6 +9,8 @@
     isAvoided(now: number): boolean;
     /** Whether this node has ejected the upstream because of failed requests. */
     isEjected(now: number): boolean;
+    /** Whether the upstream has just rejected a request, or could not be reached. */
+    isUnavailable(now: number): boolean;
     recordSuccess(slowness: number): void;
     /** Records a request that failed or timed out. */
     recordFailure(now: number): void;
@@ -58,6 +60,7 @@
         slowness: () => slowness,
         isAvoided: now => now < ejectedUntil || now < rejectedUntil,
         isEjected: now => now < ejectedUntil,
+        isUnavailable: now => now < rejectedUntil,
         recordSuccess: value => {
             failureShare *= 1 - SMOOTHING_WEIGHT;
             slowness += SMOOTHING_WEIGHT * (Math.min(10, value) - slowness);
