Take a reset that arrives with bytes for a break, not for an end

Cause: when bytes and a reset are there at one wake-up of the event loop, libuv reads the bytes and reports a regular end. undici then ends the response. Ruled out: second answers (each answer names its attempt), and a regular end by the router (it resets what it gives up).

Change: at the end of a connection the operating system is asked for the address of the other side, which it knows after a close and not after a reset.

Regular closes are delivered whole.

--- a/src/node/common/reset-connection.ts
+++ b/src/node/common/reset-connection.ts
@@ -1,4 +1,4 @@
-/** Resets connections, so that the other side does not take what it received for complete. */
+/** Resets connections, and tells whether the other side has reset one, so that nothing cut looks complete. */
 import type { Socket } from "node:net";
 
 /**
@@ -10,3 +10,24 @@
     Object.assign(socket, { resetAndClosing: true });
     socket.destroy();
 }
+
+/** Watches the end of a connection. */
+export interface ResetWatch {
+    /** Whether the other side reset the connection before its end was read. */
+    wasReset(): boolean;
+    stop(): void;
+}
+
+/**
+ * Recognizes a reset that libuv reports as a regular end, because bytes before it were unread. The operating
+ * system knows no peer of a connection that was reset. Must be called before anything reads the remote address
+ * of the socket, which Node.js then keeps.
+ */
+export function watchForReset(socket: Socket): ResetWatch {
+    let hasLostPeer = false;
+    const onEnd = (): void => {
+        hasLostPeer = socket.remoteAddress === undefined;
+    };
+    socket.prependListener("end", onEnd);
+    return { wasReset: () => hasLostPeer, stop: () => socket.off("end", onEnd) };
+}
--- a/src/node/forwarding/__tests__/raw-upstream.ts
+++ b/src/node/forwarding/__tests__/raw-upstream.ts
@@ -4,6 +4,8 @@
 import { createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import type { TestContext } from "node:test";
+import { watchForReset } from "../../common/reset-connection.js";
+import type { ResetWatch } from "../../common/reset-connection.js";
 import { createLifecycle } from "../../lifecycle/lifecycle.js";
 import { createHttpSend } from "../../upstreams/send.js";
 import { runAttempt } from "../attempt.js";
@@ -85,6 +87,10 @@
         outgoing.on("error", () => {
             resolve({ status: undefined, headers: {}, body: "", complete: false });
         });
+        let resets: ResetWatch | undefined;
+        outgoing.on("socket", socket => {
+            resets = watchForReset(socket);
+        });
         outgoing.on("response", response => {
             let body = "";
             response.on("data", (chunk: Buffer) => {
@@ -92,7 +98,8 @@
             });
             response.on("error", () => undefined);
             response.on("close", () => {
-                const { statusCode: status, headers, complete } = response;
+                const { statusCode: status, headers } = response;
+                const complete = response.complete && resets?.wasReset() !== true;
                 resolve({ status, headers, body, complete });
             });
         });
--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -3,6 +3,7 @@
 import { Socket } from "node:net";
 import { Agent, buildConnector } from "undici";
 import type { Dispatcher } from "undici";
+import { watchForReset } from "../common/reset-connection.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Verdict } from "../verdict/verdict.js";
 
@@ -82,45 +83,51 @@
  */
 const MAXIMUM_STRAY_BYTES = 256 * 1024;
 
-/** Counts the bytes on a connection that belong to no response. */
-interface StrayByteCount {
+/** What is known of a connection besides the responses that are read from it. */
+interface WatchedConnection {
     /** Records that a head or a part of a body was read. */
-    reset(): void;
+    recordProgress(): void;
+    /** Whether the upstream reset the connection before its end was read. */
+    wasReset(): boolean;
 }
 
 /** Sees the connections of an agent. */
 interface ConnectionWatch {
     readonly connect: buildConnector.connector;
     /** Connection whose bytes are being read; only meaningful in a callback of undici that reads a head. */
-    current(): StrayByteCount | undefined;
+    current(): WatchedConnection | undefined;
 }
 
 /**
- * Creates a connector with two additions to undici's:
+ * Creates a connector with three additions to undici's:
  *
  * - It replaces the error code of connection resets. undici treats a reset as the regular end of a response
  *   without a length, so a truncated response would appear complete.
+ * - It recognizes resets that arrive together with bytes, and which libuv reports as a regular end.
  * - It closes a connection on which bytes that are no response arrive without end: status lines, informational
  *   heads, empty lines, chunk extensions. undici limits only the header fields.
  */
 function createConnectionWatch(): ConnectionWatch {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
-    let current: StrayByteCount | undefined;
+    let current: WatchedConnection | undefined;
 
     const watch = (socket: Socket): void => {
-        let bytesAtReset = 0;
-        const count: StrayByteCount = {
-            reset: () => {
-                bytesAtReset = socket.bytesRead;
+        let bytesAtProgress = 0;
+        // undici ends the response in its own listener for the end, after the one of the watch.
+        const resets = watchForReset(socket);
+        const connection: WatchedConnection = {
+            recordProgress: () => {
+                bytesAtProgress = socket.bytesRead;
             },
+            wasReset: resets.wasReset,
         };
         socket.prependListener("error", (error: NodeJS.ErrnoException) => {
             error.code = error.code === "ECONNRESET" ? RESET_CODE : error.code;
         });
         // undici reads in its own listener for this event, directly after this one.
         socket.prependListener("readable", () => {
-            current = count;
-            if (socket.bytesRead - bytesAtReset > MAXIMUM_STRAY_BYTES) {
+            current = connection;
+            if (socket.bytesRead - bytesAtProgress > MAXIMUM_STRAY_BYTES) {
                 socket.destroy(new Error(`${MAXIMUM_STRAY_BYTES} bytes arrived without an answer`));
             }
         });
@@ -163,7 +170,7 @@
         let controller: Dispatcher.DispatchController | undefined;
         let cancelled = false;
         let writeStarted = false;
-        let strayBytes: StrayByteCount | undefined;
+        let connection: WatchedConnection | undefined;
         const fail = (error: NodeJS.ErrnoException): void => {
             handlers.onFailure(
                 writeStarted ? "may-have-run" : "not-run",
@@ -195,16 +202,27 @@
                 },
                 onResponseStart: (_controller, status, headers) => {
                     if (status >= HTTP_OK) {
-                        strayBytes = connections.current();
-                        strayBytes?.reset();
+                        connection = connections.current();
+                        connection?.recordProgress();
                     }
                     handlers.onHead(status, headers);
                 },
                 onResponseData: (_controller, chunk) => {
-                    strayBytes?.reset();
+                    connection?.recordProgress();
                     handlers.onChunk(chunk);
                 },
-                onResponseEnd: () => handlers.onEnd(),
+                onResponseEnd: () => {
+                    if (connection?.wasReset() === true) {
+                        fail(
+                            Object.assign(new Error("the upstream reset the connection"), {
+                                code: RESET_CODE,
+                            }),
+                        );
+                    }
+                    else {
+                        handlers.onEnd();
+                    }
+                },
                 onResponseError: (_controller, error) => fail(error),
             },
         );
