Count a request as open until its caller has got the last bytes

What callers lose: the last bytes of an answer, when its reader is slow and the node stops.

Cause: a request counted as ended once its answer was written, while its last bytes, up to a read of the upstream's connection, still waited in the node. A stop that saw no open request closed the connection.

Change: a request is open until its response has closed, which Node.js reports when the operating system has taken all of it.

--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -30,6 +30,7 @@
 }
 
 export interface ForwardingServer {
+    /** Requests whose answers the callers' connections have not taken to the end. */
     openRequests(): number;
     /**
      * Closes the connection after each further response and rejects requests that may not end in time.
@@ -39,6 +40,8 @@
     startDraining(exitsAt: number): void;
     /** Stops listening and closes idle connections. */
     stopListening(): void;
+    /** Closes all connections. Those without an open request have brought none that was read. */
+    closeConnections(): void;
     /** Applies timeouts that an operator changed. */
     applyLimits(idleTimeoutMilliseconds: number, headerTimeoutMilliseconds: number): void;
 }
@@ -260,6 +263,8 @@
         const head = codec.decodeRequest(message.headers);
         const trace = options.requestLog.begin(head.attemptId ?? "(none)");
         openResponses.add(response);
+        // A slow reader gets the last bytes of its answer some time after the request ended.
+        const closed = new Promise<void>(resolve => response.once("close", resolve));
         if (exitsAt !== undefined) {
             response.setHeader("connection", "close");
         }
@@ -291,6 +296,7 @@
                 trace.end(true);
                 sendRouterResponse(response, codec, head.attemptId, 500, "the node failed");
             })
+            .then(() => closed)
             .finally(() => {
                 openResponses.delete(response);
             });
@@ -324,6 +330,7 @@
             server.close();
             server.closeIdleConnections();
         },
+        closeConnections: () => server.closeAllConnections(),
         applyLimits: (idleTimeoutMilliseconds, headerTimeoutMilliseconds) => {
             server.keepAliveTimeout = idleTimeoutMilliseconds;
             server.headersTimeout = headerTimeoutMilliseconds + CONNECTION_CHECK_INTERVAL_MILLISECONDS;
