Finish requests that arrive while the listener closes

A connection that has brought no request is not idle for Node.js and outlives the end of the listener. A request that it brought then was sent on while the node stopped its parts.

Change: the node waits for open requests again after the listener has closed, and closes the connections in the same step in which it sees none.

--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -496,10 +496,18 @@
         await delay(announceMilliseconds);
         // The load balancer may still send requests when no other node accepts any, so the listener stays
         // open.
-        while (countOpenRequests() > 0 && elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS) {
-            await delay(DRAIN_POLL_MILLISECONDS);
-        }
+        const finishRequests = async (): Promise<void> => {
+            while (countOpenRequests() > 0 && elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS) {
+                await delay(DRAIN_POLL_MILLISECONDS);
+            }
+        };
+        await finishRequests();
         servers.forEach(server => server.stopListening());
+        // A connection that was accepted last may still bring a request until it is closed.
+        await finishRequests();
+        if (countOpenRequests() === 0) {
+            servers.forEach(server => server.closeConnections());
+        }
     };
 
     return {
