--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -268,7 +268,7 @@
         if (exitsAt !== undefined) {
             response.setHeader("connection", "close");
         }
-        handle(message, response, head, trace, arrivedAt)
+        const ended = handle(message, response, head, trace, arrivedAt)
             .catch((error: unknown) => ({
                 ...sendRejection(error, message, response, head),
                 route: undefined,
@@ -295,11 +295,8 @@
                 });
                 trace.end(true);
                 sendRouterResponse(response, codec, head.attemptId, 500, "the node failed");
-            })
-            .then(() => closed)
-            .finally(() => {
-                openResponses.delete(response);
             });
+        void Promise.all([ended, closed]).finally(() => openResponses.delete(response));
     };
 
     const server: Server = createServer(
