Do not escalate an answer whose request may run only once

Cause: tryEscalate asked for attempts left and not whether the route lets a request run again.

Change: only repeatable routes escalate. All model routes of the sites may be resumed, so nothing changes there.

Evidence: escalation.spec.ts fails on for the route that may not run again, and holds for the other before and after.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -289,7 +289,8 @@
         });
 
         const tryEscalate = (confidence: number | undefined): boolean => {
-            if (!routerChoosesModel || sink.hasBegun() || executions + 1 >= route.maximumAttempts) {
+            const mayRunAgain = isRepeatable(route) && executions + 1 < route.maximumAttempts;
+            if (!routerChoosesModel || sink.hasBegun() || !mayRunAgain) {
                 return false;
             }
             const larger = escalationModel(
