--- a/src/node/shifts/exposure-plan.ts
+++ b/src/node/shifts/exposure-plan.ts
@@ -15,7 +15,7 @@
 const CANARY_PART = 0.42;
 
 /** Time before the end of the duration at which a shift is completed, milliseconds. */
-const SETTLE_MILLISECONDS = 500;
+const SETTLE_MILLISECONDS = 700;
 
 /** Part of that time after which a version that is still in doubt is given up. */
 const DOUBT_PART = 0.3;
