Decide the stage of a shift without the pause of other writes

What operators see: a good version with a short duration is reported as completed after its time (8,400 of 8,100 ms). Roll-backs waited as well.

Cause: after any write of a shift a node decided nothing for 500 ms, also after evidence, which it writes every 700 ms in the full stage, and after a stage whose row had arrived.

Change: evidence has its own interval and causes no pause; the pause after a stage ends when its row is there. An assessment is made at once when the time of a decision has passed.

--- a/src/node/shifts/__tests__/shifts.spec.ts
+++ b/src/node/shifts/__tests__/shifts.spec.ts
@@ -287,6 +287,27 @@
     await lifecycle.stop();
 });
 
+test("a good version is reported as completed before its time ends, whenever evidence is written", async context => {
+    const bounds = { exposureShare: 0.12, exposureRequests: 30, sessionMilliseconds: 5000 };
+    for (let duration = 8000; duration <= 9000; duration += 100) {
+        context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
+        const schedule = resolveShiftSettings(bounds, duration);
+        const nodes = createShiftNodes(["a"], { ...order, durationMilliseconds: duration }, schedule);
+        await nodes.lifecycle.start();
+        let elapsed = 0;
+        for (; nodes.report() !== "completed" && elapsed < 2 * duration; elapsed += 100) {
+            nodes.coordinators.forEach(({ record }) => {
+                record("engines", "v2", "reports", "succeeded", fastTiming, "new");
+                record("engines", "v1", "reports", "succeeded", fastTiming, "old");
+            });
+            await advanceTime(context.mock.timers, 100);
+        }
+        await nodes.lifecycle.stop();
+        context.mock.timers.reset();
+        assert.ok(elapsed <= duration, `${elapsed} of ${duration} ms`);
+    }
+});
+
 test("errors that are spread over two nodes roll back the shift on both", async context => {
     context.mock.timers.enable({ apis: ["setInterval", "Date"], now: 100_000 });
     const { coordinators, lifecycle, report } = createNodes(["a", "b"]);
--- a/src/node/shifts/shift-coordinator.ts
+++ b/src/node/shifts/shift-coordinator.ts
@@ -114,8 +114,12 @@
 /** Minimum delay after a write of a shift, milliseconds, also before the retry of a failed one. */
 const WRITE_RETRY_MILLISECONDS = 500;
 
-/** Minimum time between assessments before the full stage, milliseconds. An assessment costs milliseconds of a core. */
+/**
+ * Minimum time between assessments before and in the full stage, milliseconds. An assessment costs milliseconds
+ * of a core. It is made at once when the time for a decision has come.
+ */
 const EARLY_ASSESSMENT_MILLISECONDS = 400;
+const FULL_ASSESSMENT_MILLISECONDS = 200;
 
 /** Logarithm of the likelihood ratio above which every node reports its evidence. */
 const SUSPICIOUS_LOG_RATIO = 0;
@@ -171,6 +175,8 @@
     regressionSince: number | undefined;
     reportedAt: number;
     assessedAt: number;
+    /** Elapsed share of the duration at the last assessment. */
+    assessedProgress: number;
     nextWriteAt: number;
     /** Epoch of the store, to write the state and the report again after a restore. */
     epoch: number;
@@ -269,6 +275,7 @@
             hasReportedAnswers: false,
             reportedAt: 0,
             assessedAt: -Infinity,
+            assessedProgress: 0,
             nextWriteAt: now + firstWriteDelay(order.revision),
             epoch: replica.epoch,
             state: undefined,
@@ -297,12 +304,16 @@
         shift.state = next;
     };
 
-    /** @param onWritten Called once the rows are in the store. Only then do they count as reported. */
+    /**
+     * @param onWritten Called once the rows are in the store. Only then do they count as reported.
+     * @param pauseMilliseconds Time after the write in which no stage is decided.
+     */
     const write = (
         shift: TrackedShift,
         writes: readonly RowWrite[],
         stateRevision: number | undefined,
         onWritten: () => void = () => undefined,
+        pauseMilliseconds = WRITE_RETRY_MILLISECONDS,
     ): void => {
         shift.isWriting = true;
         const conditions =
@@ -333,7 +344,7 @@
             )
             .finally(() => {
                 shift.isWriting = false;
-                shift.nextWriteAt = clock.now() + WRITE_RETRY_MILLISECONDS;
+                shift.nextWriteAt = clock.now() + pauseMilliseconds;
             });
     };
 
@@ -471,11 +482,13 @@
             evidence: encodeEvidence(shift.evidence),
         };
         const key = evidenceKey(shift.order.service);
-        write(shift, [{ table: "nodes", key, value: JSON.stringify(row) }], undefined, () => {
+        const onWritten = (): void => {
             shift.reportedBadAnswers = badAnswers;
             shift.reportedAnswers = allAnswers;
             shift.hasReportedAnswers ||= isFinalReport;
-        });
+        };
+        // Evidence has its own interval. A pause after it would delay a roll-back or a completion.
+        write(shift, [{ table: "nodes", key, value: JSON.stringify(row) }], undefined, onWritten, 0);
         shift.reportedAt = clock.now();
     };
 
@@ -509,12 +522,26 @@
         return !isKnown;
     };
 
+    const isAssessmentDue = (shift: TrackedShift, progress: number): boolean => {
+        const { fullAt, completeAt, decideAt } = settingsOf(shift.order);
+        const isDecision = [fullAt, completeAt, decideAt].some(
+            at => progress >= at && shift.assessedProgress < at,
+        );
+        const interval = progress < fullAt ? EARLY_ASSESSMENT_MILLISECONDS : FULL_ASSESSMENT_MILLISECONDS;
+        return isDecision || clock.now() - shift.assessedAt >= interval;
+    };
+
     const advance = (shift: TrackedShift): void => {
         const { order } = shift;
         const stored = readStoredState(order);
+        const stageBefore = shift.state?.stage;
         if (stored !== undefined) {
             mergeState(shift, stored, "store");
         }
+        if (shift.state?.stage !== stageBefore) {
+            // The pause after a write is for its row to arrive.
+            shift.nextWriteAt = Math.min(shift.nextWriteAt, clock.now());
+        }
         if (shift.epoch !== replica.epoch) {
             shift.epoch = replica.epoch;
             shift.nextWriteAt = clock.now() + firstWriteDelay(order.revision);
@@ -547,11 +574,11 @@
             return;
         }
         const progress = (time - shift.state.startedAt) / order.durationMilliseconds;
-        const isEarly = progress < settingsOf(order).fullAt;
-        if (isEarly && clock.now() - shift.assessedAt < EARLY_ASSESSMENT_MILLISECONDS) {
+        if (!isAssessmentDue(shift, progress)) {
             return;
         }
         shift.assessedAt = clock.now();
+        shift.assessedProgress = progress;
         const assessment = assess(shift);
         const stage = nextStage(order, shift.state, assessment, time, settingsOf(order));
         if (stage !== undefined) {
