--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -27,6 +27,8 @@
         dataCentre: z.string().check(z.minLength(1)),
         /** Nodes take requests of nodes in their region only. */
         region: z.optional(z.string()),
+        /** Names of the contracts of the deployment, which `platform/` translates into settings. */
+        contracts: list,
         /** Capacity of the VM's link, Mbit/s. Nodes with the fastest links relay changes to the others. */
         linkMegabitsPerSecond: z.optional(positive),
     }),
@@ -113,6 +115,22 @@
         }),
         {},
     ),
+    scarcity: z.prefault(
+        z.strictObject({
+            /** Orders requests by priority and rejects those that cannot be answered in time. @default false */
+            enabled: z.optional(z.boolean()),
+        }),
+        {},
+    ),
+    placement: z.prefault(
+        z.strictObject({
+            /** Sends requests to upstreams of the own data centre where that serves callers. @default false */
+            preferOwnDataCentre: z.optional(z.boolean()),
+            /** Learns the speed of each upstream from requests. @default false */
+            learnSpeeds: z.optional(z.boolean()),
+        }),
+        {},
+    ),
     logging: z.prefault(
         z.strictObject({
             level: z._default(z.enum(["debug", "info", "warn", "error", "silent"]), "info"),
