--- a/bench/scenarios/index.ts
+++ b/bench/scenarios/index.ts
@@ -10,6 +10,7 @@
 import { exposure } from "./exposure.js";
 import { fencing } from "./fencing.js";
 import { latency } from "./latency.js";
+import { nodeCost } from "./node-cost.js";
 import { overhead } from "./overhead.js";
 import { recovery } from "./recovery.js";
 import { slowReaders } from "./slow-readers.js";
@@ -28,4 +29,5 @@
     recovery,
     decisionScenario,
     fencing,
+    nodeCost,
 ];
