Serve callers that resume where nothing follows, and those that may not resume

A caller that resumed a stream without framing after its last event got 502: its end was agreed by two upstreams, but the answer had not begun, and an answer that has not begun could not be ended. It is now an empty stream without framing. On routes without resumption the events up to the caller's Last-Event-Id were left out; they are passed on.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -263,7 +263,7 @@
         const sink = createResponseSink({
             response,
             encodeHeaders: headers => codec.encodeResponse(withoutRouterMark(headers)),
-            lastEventId: head.lastEventId,
+            lastEventId: route.resumable ? head.lastEventId : undefined,
             eventFields: codec.eventFields,
             onFirstByte: () => {
                 firstByteMilliseconds = clock.now() - request.arrivedAt;
@@ -538,8 +538,11 @@
         /** Records whether the stream may have ended after its last event. */
         const recordEnd = (result: AttemptResult): void => {
             if (result.kind === "unconfirmed") {
-                isEndAgreed =
-                    !result.hasNewEvents && unconfirmedEndId === sink.lastEventId() && sink.isUnframed();
+                const isEndStatedTwice =
+                    !result.hasNewEvents &&
+                    unconfirmedEndId !== undefined &&
+                    unconfirmedEndId === sink.lastEventId();
+                isEndAgreed = isEndStatedTwice && (!sink.hasBegun() || sink.isUnframed());
                 unconfirmedEndId = sink.lastEventId();
             }
             else if (
--- a/src/node/forwarding/response-sink.ts
+++ b/src/node/forwarding/response-sink.ts
@@ -40,8 +40,8 @@
     isUnframed(): boolean;
     /**
      * Ends a stream whose upstream ended its connection, which may also have been a crash. Returns false and
-     * keeps it open when an event is incomplete, no event was sent, or the framing would state that the stream
-     * is complete.
+     * keeps it open when an event is incomplete, or the framing would state that the stream is complete. A
+     * stream without new events ends empty if its caller resumed it, and is kept open otherwise.
      */
     endUnconfirmed(): boolean;
     end(): void;
@@ -143,7 +143,13 @@
         },
         isUnframed: () => hasBegun && !isChunked,
         endUnconfirmed: () => {
-            if (splitter.pendingBytes() > 0 || !hasBegun || isChunked) {
+            if (splitter.pendingBytes() > 0) {
+                return false;
+            }
+            if (!hasBegun && streamHead !== undefined && options.lastEventId !== undefined) {
+                begin(streamHead.status, streamHead.headers, false);
+            }
+            if (!hasBegun || isChunked) {
                 return false;
             }
             response.end();
