Follow relays of other data centres where the time limit allows it

Each data centre had a reader of the store of its own, and feeds are most of the calls. Where [store] applyMilliseconds is at least 3,000, the first node of a data centre now reads from the first node of a preceding data centre of its region, so a region has one reader. The order of data centres depends on their names alone, so relays form no cycle in any views. A node follows a relay of another data centre only while that one reads the store itself, which bounds the levels to two. A node that loses such a relay answers its followers for 0.2 s as before, while it turns to the store, so that they do not read the store as well.

In relays.spec.ts, 40 nodes in 4 data centres and 2 regions have 2 readers instead of 4.

--- a/src/node/replica/__tests__/relays.spec.ts
+++ b/src/node/replica/__tests__/relays.spec.ts
@@ -9,21 +9,33 @@
 import { silentLogging } from "../../logging/logging.js";
 import type { PeerHandler } from "../../peers/peers.js";
 import { relaysOf } from "../relay-choice.js";
+import type { RelayCandidate } from "../relay-choice.js";
 import { createRowExchange } from "../row-exchange.js";
 import { createRowReplica } from "../row-replica.js";
 import type { RowChange } from "../row-replica.js";
 import type { SharedStore } from "../shared-store.js";
 import { createStoreSync } from "../store-sync.js";
 import type { Relay, StoreSync } from "../store-sync.js";
+import { resolveStoreTiming } from "../store-timing.js";
 
 /** Time limit for a change to reach every node, milliseconds: the shortest one stated for a configuration. */
 const APPLY_MILLISECONDS = 2000;
 
+/** Time limit for a configuration from which the first node of a data centre reads from another one. */
+const REGIONAL_APPLY_MILLISECONDS = 3000;
+
+/**
+ * Time that a whole configuration of 1,700 routes takes on the slowest link and processor, milliseconds: 860 to
+ * read and 400 to validate. Transfers take no time in these tests.
+ */
+const TRANSFER_AND_DECODE_MILLISECONDS = 1260;
+
 /** Timeout of a call to an unresponsive store, in addition to the requested wait, milliseconds. */
 const STORE_TIMEOUT_MILLISECONDS = 900;
 
 interface TestNode {
     readonly id: string;
+    readonly dataCentre: string;
     readonly sync: StoreSync;
     /** The node neither responds to calls nor receives responses. */
     isFrozen: boolean;
@@ -49,12 +61,15 @@
     size: number,
     dataCentres: number,
     isEmpty = false,
-    relays: (self: Relay, nodes: readonly Relay[]) => readonly Relay[] = relaysOf,
+    relays: (self: Relay, nodes: readonly Relay[], isRegional: boolean) => readonly Relay[] = relaysOf,
+    { applyMilliseconds = APPLY_MILLISECONDS, regions = 1 } = {},
 ): Promise<Fleet> {
+    const timing = resolveStoreTiming(applyMilliseconds);
     context.mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"] });
     let entries = Array.from({ length: size }, (_, index) => ({
         id: `node-${index}`,
         dataCentre: `dc-${index % dataCentres}`,
+        region: `region-${(index % dataCentres) % regions}`,
         peerAddress: `node-${index}`,
     }));
     /** An empty store has no row until the first `write`. */
@@ -139,16 +154,19 @@
         });
         const sync = createStoreSync({
             node: entry.id,
+            dataCentre: entry.dataCentre,
+            timing,
             store: createStore(() => node),
             replicas,
             exchange,
-            relays: () => relays(entry, entries),
+            relays: () => relays(entry, entries, timing.isRegional),
             clock,
             lifecycle,
             logger: silentLogging("store"),
         });
         const node: TestNode = {
             id: entry.id,
+            dataCentre: entry.dataCentre,
             sync,
             isFrozen: false,
             canReachStore: true,
@@ -213,6 +231,65 @@
     );
 });
 
+test("relays form no cycle across data centres when nodes have different lists of nodes", () => {
+    const names = fc.uniqueArray(fc.string({ minLength: 1 }), { minLength: 1, maxLength: 9 });
+    const small = fc.array(fc.nat(2));
+    fc.assert(
+        fc.property(
+            names,
+            fc.array(fc.nat(511)),
+            small,
+            small,
+            small,
+            (ids, views, links, sites, regions) => {
+                const nodes = ids.map((id, index) => ({
+                    id,
+                    dataCentre: `d-${sites[index]}`,
+                    region: `r-${regions[sites[index] ?? 0]}`,
+                    linkMegabitsPerSecond: links[index],
+                }));
+                const follows = new Map(
+                    nodes.map((node, index) => {
+                        const view = nodes.filter((_, other) => ((views[index] ?? 511) >> other) & 1);
+                        return [node.id, relaysOf(node, view, true).map(({ id }) => id)] as const;
+                    }),
+                );
+                const leadsTo = (from: string, to: string, depth: number): boolean =>
+                    depth > 0 && follows.get(from)!.some(id => id === to || leadsTo(id, to, depth - 1));
+                return ids.every(id => !leadsTo(id, id, ids.length));
+            },
+        ),
+    );
+});
+
+test("only the first node of a data centre has relays in others, and only in its region", () => {
+    const nodes = Array.from({ length: 24 }, (_, index) => ({
+        id: `n${index}`,
+        dataCentre: `dc-${index % 6}`,
+        region: `r-${index % 2}`,
+    }));
+    const isFirst = (node: RelayCandidate): boolean => relaysOf(node, nodes).length === 0;
+    for (const node of nodes) {
+        const relays = relaysOf(node, nodes, true);
+        if (isFirst(node)) {
+            assert.ok(relays.every(relay => relay.region === node.region && isFirst(relay)));
+            assert.ok(relays.every(relay => relay.dataCentre !== node.dataCentre));
+        }
+        else {
+            assert.deepEqual(relays, relaysOf(node, nodes));
+        }
+    }
+    assert.equal(nodes.filter(node => relaysOf(node, nodes, true).length === 0).length, 2);
+});
+
+test("nodes without a region read from no other data centre", () => {
+    const nodes = ["a", "b"].map(id => ({ id, dataCentre: id }));
+    assert.deepEqual(
+        nodes.map(node => relaysOf(node, nodes, true)),
+        [[], []],
+    );
+});
+
 test("no relay is in another data centre", () => {
     const nodes = ["a", "b", "c", "d"].map((id, index) => ({ id, dataCentre: `dc-${index % 2}` }));
     for (const node of nodes) {
@@ -356,3 +433,84 @@
     await fleet.advance(2000);
     assert.ok(fleet.nodes.every(({ sync }) => !sync.isDisconnected() && sync.reconnectedAt() !== undefined));
 });
+
+const createRegionalFleet = (context: TestContext, size: number, dataCentres: number, regions: number) =>
+    createFleet(context, size, dataCentres, false, relaysOf, {
+        applyMilliseconds: REGIONAL_APPLY_MILLISECONDS,
+        regions,
+    });
+
+/** The node in another data centre from which `node` reads, directly or through the first node of its own. */
+function regionalReaderOf(fleet: Fleet, node: TestNode): TestNode {
+    return fleet.nodes.find(({ id }) => id === node.sync.path().at(-1))!;
+}
+
+test("a region has one reader of the store", async context => {
+    const fleet = await createRegionalFleet(context, 40, 4, 2);
+    await fleet.advance(8000);
+    assert.equal(fleet.readers().length, 2);
+    assert.ok(fleet.nodes.every(({ sync }) => sync.path().length <= 3));
+    fleet.write("second");
+    await fleet.advance(200);
+    assert.deepEqual(valuesOf(fleet.nodes), ["second"]);
+});
+
+// A node of a third data centre is two levels away from the store. Both levels fail at different phases of calls.
+test("a change arrives when two relays in a row stop responding at once", async context => {
+    const fleet = await createRegionalFleet(context, 24, 4, 1);
+    for (let phase = 0; phase < 700; phase += 110) {
+        await fleet.advance(15_000 + phase);
+        const last = fleet.nodes.find(({ sync }) => sync.path().length === 3)!;
+        const silent = last.sync.path().slice(1);
+        const others = fleet.nodes.filter(({ id }) => !silent.includes(id));
+        const silentNodes = fleet.nodes.filter(({ id }) => silent.includes(id));
+        silentNodes.forEach(node => {
+            node.isFrozen = true;
+            node.canReachStore = false;
+        });
+        fleet.write(`${phase}`);
+        await fleet.advance(REGIONAL_APPLY_MILLISECONDS - TRANSFER_AND_DECODE_MILLISECONDS);
+        assert.deepEqual(valuesOf(others), [`${phase}`], `phase ${phase}`);
+        silentNodes.forEach(node => {
+            node.isFrozen = false;
+            node.canReachStore = true;
+        });
+    }
+});
+
+test("a change arrives when the store stops responding to the reader of a region", async context => {
+    const fleet = await createRegionalFleet(context, 24, 4, 1);
+    for (let phase = 0; phase < 2100; phase += 300) {
+        await fleet.advance(15_000 + phase);
+        const [reader] = fleet.readers();
+        reader!.isStoreSilent = true;
+        fleet.write(`${phase}`);
+        await fleet.advance(REGIONAL_APPLY_MILLISECONDS - TRANSFER_AND_DECODE_MILLISECONDS);
+        const others = fleet.nodes.filter(node => node !== reader);
+        assert.deepEqual(valuesOf(others), [`${phase}`], `phase ${phase}`);
+        reader!.isStoreSilent = false;
+    }
+});
+
+test("the nodes of a data centre do not read the store when its relay in another one fails", async context => {
+    const fleet = await createRegionalFleet(context, 40, 4, 1);
+    await fleet.advance(8000);
+    const reader = regionalReaderOf(fleet, fleet.nodes[0]!);
+    const others = fleet.nodes.filter(({ dataCentre }) => dataCentre !== reader.dataCentre);
+    const before = others.map(node => node.storeCalls);
+    reader.isFrozen = true;
+    reader.canReachStore = false;
+    await fleet.advance(2000);
+    const callers = others.filter((node, index) => node.storeCalls > before[index]!);
+    assert.ok(callers.length <= 3, `${callers.length} nodes read the store`);
+    fleet.write("second");
+    await fleet.advance(200);
+    assert.deepEqual(valuesOf(others), ["second"]);
+});
+
+// Otherwise the levels of relays, and with them the time until a change arrives, would have no bound.
+test("a node of another data centre that reads from a relay is not followed", async context => {
+    const fleet = await createRegionalFleet(context, 3, 3, 1);
+    await fleet.advance(8000);
+    assert.deepEqual(fleet.nodes.map(({ sync }) => sync.path().length).sort(), [1, 2, 2]);
+});
--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -2,8 +2,9 @@
  * Keeps the replicas up to date from a relay or from the store's feeds, and tracks whether either is
  * reachable.
  *
- * A relay is a node of the same data centre that forwards the rows that it reads. The number of calls to the
- * store therefore grows with the number of data centres and not with the number of nodes.
+ * A relay is a node of the same data centre that forwards the rows that it reads, or of another data centre of
+ * the region where the time limits allow two levels of relays. The number of calls to the store therefore grows
+ * with the number of data centres or regions and not with the number of nodes.
  */
 import { delay } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
@@ -14,6 +15,7 @@
 import type { RowReplica } from "./row-replica.js";
 import { TABLE_NAMES } from "./shared-store.js";
 import type { SharedStore, TableName } from "./shared-store.js";
+import type { StoreTiming } from "./store-timing.js";
 
 export type Replicas = Readonly<Record<TableName, RowReplica>>;
 
@@ -83,6 +85,8 @@
 export interface StoreSyncOptions {
     /** Id of this node. */
     readonly node: string;
+    readonly dataCentre: string;
+    readonly timing: StoreTiming;
     readonly store: SharedStore;
     readonly replicas: Replicas;
     readonly exchange: Pick<RowExchange, "readFrom" | "completeWaitingCalls">;
@@ -94,7 +98,7 @@
 }
 
 export function createStoreSync(options: StoreSyncOptions): StoreSync {
-    const { store, replicas, exchange, clock, logger } = options;
+    const { store, replicas, exchange, timing, clock, logger } = options;
     /** Tables whose last call to the store failed. */
     const failedTables = new Set<TableName>();
     /** Tables that were read from the store since this node last used a relay. */
@@ -107,8 +111,15 @@
     let wakeReaders: (() => void)[] = [];
     let reconnectedAt: number | undefined;
     let disconnectedAt: number | undefined;
+    /** Monotonic time until which a node that lost its relay still counts as connected. */
+    let graceUntil = -Infinity;
     let stopped = false;
 
+    const isInGrace = (): boolean => clock.now() < graceUntil && failedTables.size === 0;
+    const isCurrent = (): boolean =>
+        relay !== undefined ||
+        (failedTables.size === 0 && readTables.size === TABLE_NAMES.length) ||
+        isInGrace();
     const isDisconnected = (): boolean => relay === undefined && failedTables.size > 0;
 
     /** Records and logs the start and the end of an interruption. */
@@ -192,18 +203,33 @@
         updateConnection({ relay: candidate.id });
     };
 
-    const removeRelay = (previous: Relay, reason: string): void => {
+    const endGrace = (): void => {
+        graceUntil = -Infinity;
+        if (!stopped && !isCurrent()) {
+            exchange.completeWaitingCalls();
+        }
+    };
+
+    const removeRelay = (previous: Relay, reason: string, grace: number): void => {
         logger.warn("Lost the node that was followed.", { relay: previous.id, reason });
         relay = undefined;
-        exchange.completeWaitingCalls();
+        if (grace > 0) {
+            graceUntil = clock.now() + grace;
+            setTimeout(endGrace, grace);
+        }
+        else {
+            graceUntil = -Infinity;
+            exchange.completeWaitingCalls();
+        }
         wakeReaders.forEach(wake => wake());
         wakeReaders = [];
     };
 
-    const recordRelayFailure = (candidate: Relay, reason: string, pause: number): void => {
+    /** @param grace Time for which this node still counts as connected when it followed the candidate. */
+    const recordRelayFailure = (candidate: Relay, reason: string, pause: number, grace: number): void => {
         avoidedUntil.set(candidate.id, clock.now() + pause);
         if (relay?.id === candidate.id) {
-            removeRelay(candidate, reason);
+            removeRelay(candidate, reason, grace);
         }
         else {
             logger.debug("A relay is not usable.", { relay: candidate.id, reason });
@@ -211,16 +237,21 @@
     };
 
     /** Two nodes that follow each other would both take themselves for current, so a path must not return. */
-    const unusableReason = ({ isCurrent, isBehind, path }: PeerResponse): string | undefined => {
-        if (!isCurrent) {
+    const unusableReason = (candidate: Relay, response: PeerResponse): string | undefined => {
+        const { path } = response;
+        if (!response.isCurrent) {
             return "it has lost the store";
         }
-        if (isBehind) {
+        if (response.isBehind) {
             return "it has not seen that the store was restored";
         }
         if (path === undefined) {
             return "it orders relays by the rules of an earlier version";
         }
+        // Bounds the levels of relays: a third one would not fit into the time limit for a configuration.
+        if (candidate.dataCentre !== options.dataCentre && path.length > 1) {
+            return "it does not read the store itself";
+        }
         return path.includes(options.node) ? "it follows this node" : undefined;
     };
 
@@ -234,18 +265,23 @@
                 RELAY_TIMEOUT_MILLISECONDS,
                 false,
             );
-            const reason = unusableReason(response);
+            const reason = unusableReason(candidate, response);
             if (reason === undefined) {
                 relayClockOffset = response.clockOffset;
                 relayPath = response.path!;
                 follow(candidate);
             }
             else {
-                recordRelayFailure(candidate, reason, DISCONNECTED_RELAY_PAUSE_MILLISECONDS);
+                recordRelayFailure(candidate, reason, DISCONNECTED_RELAY_PAUSE_MILLISECONDS, 0);
             }
         }
         catch (error) {
-            recordRelayFailure(candidate, (error as Error).message, FAILED_RELAY_PAUSE_MILLISECONDS);
+            recordRelayFailure(
+                candidate,
+                (error as Error).message,
+                FAILED_RELAY_PAUSE_MILLISECONDS,
+                timing.relayLossGraceMilliseconds,
+            );
         }
     };
 
@@ -253,7 +289,7 @@
         while (!stopped) {
             const relays = options.relays();
             if (relay !== undefined && !relays.some(({ id }) => id === relay!.id)) {
-                removeRelay(relay, "it is no longer a possible relay");
+                removeRelay(relay, "it is no longer a possible relay", timing.relayLossGraceMilliseconds);
             }
             const candidate = relays.find(({ id }) => (avoidedUntil.get(id) ?? 0) <= clock.now());
             await (candidate === undefined ? delay(NO_RELAY_PAUSE_MILLISECONDS) : pollRelay(candidate));
@@ -273,11 +309,10 @@
 
     return {
         isDisconnected,
-        isCurrent: () =>
-            relay !== undefined || (failedTables.size === 0 && readTables.size === TABLE_NAMES.length),
+        isCurrent,
         reconnectedAt: () => reconnectedAt,
         clockOffset: () => (relay === undefined ? store.clockOffset() : undefined) ?? relayClockOffset,
         relay: () => relay?.id,
-        path: () => (relay === undefined ? [options.node] : [options.node, ...relayPath]),
+        path: () => (relay === undefined && !isInGrace() ? [options.node] : [options.node, ...relayPath]),
     };
 }
--- /dev/null
+++ b/src/node/replica/store-timing.ts
@@ -0,0 +1,29 @@
+/**
+ * Wait times of the calls to the store and to relays, derived from the time within which a configuration must be
+ * in force on every node.
+ *
+ * Designed for 660 nodes in 12 data centres and 8,000 configuration changes a day. docs/design/store-calls.md
+ * adds the times up for each failure.
+ */
+
+export interface StoreTiming {
+    /** Whether the first node of a data centre reads from a relay in another data centre of its region. */
+    readonly isRegional: boolean;
+    /**
+     * Time for which a node that lost its relay still answers its followers as if it were connected, while it
+     * makes its first calls to the store, milliseconds. Without it, all followers would read the store as well.
+     */
+    readonly relayLossGraceMilliseconds: number;
+}
+
+/** Shortest time limit for a configuration that leaves room for a second level of relays, milliseconds. */
+const MINIMUM_REGIONAL_APPLY_MILLISECONDS = 3000;
+
+const SHORT_BOUND_TIMING: StoreTiming = { isRegional: false, relayLossGraceMilliseconds: 0 };
+
+const LONG_BOUND_TIMING: StoreTiming = { isRegional: true, relayLossGraceMilliseconds: 200 };
+
+/** @param applyMilliseconds Time within which a configuration must be in force on every node. */
+export function resolveStoreTiming(applyMilliseconds: number): StoreTiming {
+    return applyMilliseconds >= MINIMUM_REGIONAL_APPLY_MILLISECONDS ? LONG_BOUND_TIMING : SHORT_BOUND_TIMING;
+}
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -34,6 +34,7 @@
 import { createRowExchange } from "../replica/row-exchange.js";
 import { createRowReplica, preferStored } from "../replica/row-replica.js";
 import { createStoreSync } from "../replica/store-sync.js";
+import { resolveStoreTiming } from "../replica/store-timing.js";
 import { createLoadBoard } from "../upstream-table/load-board.js";
 import { createLoadReports } from "../upstream-table/load-reports.js";
 import { createActiveNodes } from "../upstream-table/active-nodes.js";
@@ -133,12 +134,15 @@
         path: () => sync.path(),
         clockOffset: () => sync.clockOffset(),
     });
+    const storeTiming = resolveStoreTiming(config.store.applyMilliseconds);
     const sync = createStoreSync({
         node: config.node.id,
+        dataCentre: config.node.dataCentre,
+        timing: storeTiming,
         store: adapter.store,
         replicas,
         exchange,
-        relays: () => relaysOf(nodes.self, nodes.entries()),
+        relays: () => relaysOf(nodes.self, nodes.entries(), storeTiming.isRegional),
         clock,
         lifecycle,
         logger: createLogger("store"),
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -62,6 +62,8 @@
         endpoint,
         /** Time to renew a registration that lapsed during an outage of the store, milliseconds. */
         lapseGraceMilliseconds: z._default(nonNegative, 1800),
+        /** Time within which a configuration must be in force on every node, milliseconds. @default 2000 */
+        applyMilliseconds: z._default(positive, 2000),
     }),
     stop: z.prefault(
         z.strictObject({
