Tell engines the priority of requests where capacity is scarce

Cause: routes and workspaces have priorities in the configuration, which the router ignored, so engines admit all requests as equally urgent (priority 5).

Other requests are unchanged: the header of a caller is removed as before.

--- a/src/node/forwarding/__tests__/forwarder-fixture.ts
+++ b/src/node/forwarding/__tests__/forwarder-fixture.ts
@@ -64,6 +64,7 @@
     maximumAttempts: 3,
     public: true,
     resumable: true,
+    priority: 0,
     models: [],
 };
 
@@ -278,6 +279,7 @@
                 name: "engines",
                 coldRequestsPerSecond: 0,
                 engineTokens: undefined,
+                slots: undefined,
                 modelCosts: new Map(),
             },
             workspace: undefined,
--- a/src/node/forwarding/__tests__/open-requests.spec.ts
+++ b/src/node/forwarding/__tests__/open-requests.spec.ts
@@ -28,6 +28,7 @@
     maximumAttempts: 1,
     public: true,
     resumable: false,
+    priority: 0,
     models: [],
 };
 
@@ -50,7 +51,16 @@
         idleTimeoutMilliseconds: 5000,
     };
     const services = new Map([
-        ["desk", { name: "desk", coldRequestsPerSecond: 0, engineTokens: undefined, modelCosts: new Map() }],
+        [
+            "desk",
+            {
+                name: "desk",
+                coldRequestsPerSecond: 0,
+                engineTokens: undefined,
+                slots: undefined,
+                modelCosts: new Map(),
+            },
+        ],
     ]);
     const table = createRouteTable({
         version: 1,
--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -40,6 +40,8 @@
     /** `undefined` to keep the caller's choice. */
     readonly model: string | undefined;
     readonly lastEventId: string | undefined;
+    /** Urgency at the upstream, 0 (first) to 9; `undefined` to leave it to the upstream. */
+    readonly priority: number | undefined;
 }
 
 /** Fields of an upstream's response headers. */
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -46,6 +46,7 @@
 import { evidenceGroupOf } from "../shifts/shift-evidence.js";
 import type { AnswerOutcome } from "../shifts/shift-evidence.js";
 import type { ServiceRetryBudget } from "./retry-budget.js";
+import type { Scarcity } from "../scarcity/scarcity.js";
 
 /** A request that was read to its end and matched to a route. */
 export interface MatchedRequest {
@@ -129,6 +130,8 @@
     /** Requests per second that this node may send to one cold upstream of a service. */
     readonly coldAllowance: (service: Service, upstream: RegisteredUpstream) => number;
     readonly limits: Pick<UpstreamLimits, "hasRoom" | "record" | "consume">;
+    /** Present where capacity is scarce: requests are ordered by urgency. */
+    readonly scarcity?: Scarcity;
     /** Whether rejections crash the upstreams of a service. */
     readonly isBrittle: (service: string) => boolean;
     /** Whether an upstream has a slot for one more request of this node. */
@@ -405,6 +408,7 @@
                         workspace: request.workspace?.name,
                         model: usedModel,
                         lastEventId: sink.lastEventId(),
+                        priority: options.scarcity?.enginePriorityOf(request),
                     }),
                     body: request.body.length === 0 ? undefined : request.body,
                     dedicatedConnection: route.kind === "once",
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -41,6 +41,7 @@
 import { createSlotShares } from "../upstream-table/slot-shares.js";
 import { createUpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
+import { createScarcity } from "../scarcity/scarcity.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
 import { createShiftCoordinator } from "../shifts/shift-coordinator.js";
 import { resolveShiftSettings } from "../shifts/exposure-plan.js";
@@ -379,6 +380,7 @@
         }),
         quarantine,
         limits,
+        scarcity: config.scarcity.enabled === true ? createScarcity() : undefined,
         isBrittle: service => brittle.isBrittle(service, clock.now()),
         hasFreeSlot: ({ entry, process }) =>
             (loads.ownLoads().get(entry.id)?.requests ?? 0) <
--- a/src/node/routes/__tests__/route-table.spec.ts
+++ b/src/node/routes/__tests__/route-table.spec.ts
@@ -17,6 +17,7 @@
         maximumAttempts: 3,
         public: false,
         resumable: true,
+        priority: 0,
         models: [],
         ...overrides,
     };
@@ -27,7 +28,7 @@
         version: 1,
         routes,
         services: new Map(),
-        workspaces: [{ name: "north", keys: ["k1", "k2"] }],
+        workspaces: [{ name: "north", keys: ["k1", "k2"], priority: undefined }],
         limits: {
             maximumHeaderBytes: 1,
             maximumBodyBytes: 1,
--- a/src/node/routes/entities.ts
+++ b/src/node/routes/entities.ts
@@ -35,6 +35,8 @@
     readonly public: boolean;
     /** A broken stream may resume at another upstream after its last event. */
     readonly resumable: boolean;
+    /** Urgency among routes; 0 is the highest. */
+    readonly priority: number;
     /** Models that the router may choose, smallest first. Empty where only the caller chooses the model. */
     readonly models: readonly string[];
 }
@@ -45,6 +47,8 @@
     readonly coldRequestsPerSecond: number;
     /** Memory of one engine, in tokens; `undefined` for services without models. */
     readonly engineTokens: number | undefined;
+    /** Requests that one engine runs at the same time; `undefined` for services without models. */
+    readonly slots: number | undefined;
     /** Price of 1,000 generated tokens by model. */
     readonly modelCosts: ReadonlyMap<string, number>;
 }
@@ -52,6 +56,8 @@
 export interface Workspace {
     readonly name: string;
     readonly keys: readonly string[];
+    /** Urgency among workspaces; 0 is the highest. `undefined` when only the route's priority counts. */
+    readonly priority: number | undefined;
 }
 
 export interface CallerLimits {
