Let the choice of an upstream weigh data centres

Cause: the choice knew no data centres, so about three of four requests left their own, each for 0.02 to 0.05 units in bytes and up to 2.8 ms.

Change: where a view of the data centres is passed in, the bytes that would cross and the prompt tokens that would be read again are weighed against the expected delay, relative to the target latency (leaving-cost.ts, data-centre-choice.ts). Without that view the choice is as before; its delay terms moved to expected-delay.ts.

--- a/src/node/upstream-table/upstream-choice.ts
+++ b/src/node/upstream-table/upstream-choice.ts
@@ -8,6 +8,9 @@
 import { hashToUnit, rendezvousOrder } from "../common/hash.js";
 import type { Load } from "./load-board.js";
 import type { Random } from "../common/random.js";
+import { chooseAcrossDataCentres } from "./data-centre-choice.js";
+import type { ChoicePlacement, DataCentreView } from "./data-centre-choice.js";
+import { expectedDelay, isAvoided } from "./expected-delay.js";
 import { COLD_WINDOW_MILLISECONDS } from "./upstream-table.js";
 import type { RegisteredUpstream } from "./upstream-table.js";
 
@@ -53,6 +56,8 @@
     /** Whether the limit that the upstream names allows this node one more request now. */
     readonly hasRoom: (upstream: RegisteredUpstream) => boolean;
     readonly random: Random;
+    /** Weighs the data centres; `undefined` when they make no difference. */
+    readonly dataCentres?: DataCentreView;
 }
 
 export interface Choice {
@@ -64,32 +69,10 @@
     readonly candidates: number;
     /** The request is part of a load test. */
     readonly isTest: boolean;
+    /** Why the request stays in its data centre or leaves it; absent when that was not weighed. */
+    readonly placement?: ChoicePlacement;
 }
 
-/** Prompt tokens of the largest model that an upstream processes per millisecond. */
-const TOKENS_PER_MILLISECOND = 45;
-
-/** Delay that one request in flight adds to another, milliseconds. */
-const REQUEST_DELAY_MILLISECONDS = 6;
-
-/** Penalty when all recent requests failed, milliseconds; scaled by the failure share. */
-const FAILURE_PENALTY_MILLISECONDS = 3000;
-
-/** Penalty of an upstream that is ejected or has just rejected a request, milliseconds. */
-const AVOIDED_PENALTY_MILLISECONDS = 20_000;
-
-/** Penalty of a cold upstream, milliseconds. */
-const COLD_PENALTY_MILLISECONDS = 150;
-
-/** Penalty of an upstream whose memory the request would exceed, milliseconds. */
-const FULL_PENALTY_MILLISECONDS = 2000;
-
-/** Maximum random delay, milliseconds. Keeps nodes with the same view from choosing the same upstream. */
-const MAXIMUM_JITTER_MILLISECONDS = 6;
-
-/** Share of an upstream's memory available to requests; the rest holds cached prefixes. */
-const USABLE_MEMORY_SHARE = 0.85;
-
 /** Whether this node may send one more request to a cold upstream now. */
 export function hasColdAllowance(
     upstream: RegisteredUpstream,
@@ -100,34 +83,6 @@
     return upstream.recentSends.filter(time => time > since).length < requestsPerSecond;
 }
 
-/**
- * Number of other nodes that must have ejected an upstream before this node avoids it. A single ejection may
- * come from a network fault of that node.
- */
-const EJECTIONS_TO_AVOID = 2;
-
-function isAvoided(upstream: RegisteredUpstream, context: ChoiceContext): boolean {
-    return upstream.health.isAvoided(context.now) || context.ejectionsOf(upstream) >= EJECTIONS_TO_AVOID;
-}
-
-/** Expected delay of the request at an upstream, penalties included, milliseconds. */
-function expectedDelay(upstream: RegisteredUpstream, context: ChoiceContext, isPreferred: boolean): number {
-    const load = context.loadOf(upstream);
-    const unreadTokens = load.pendingTokens + (isPreferred ? 0 : context.sharedTokens);
-    const isFull =
-        context.capacityTokens !== undefined &&
-        load.heldTokens + context.neededTokens > USABLE_MEMORY_SHARE * context.capacityTokens;
-    const work = unreadTokens / TOKENS_PER_MILLISECOND + load.requests * REQUEST_DELAY_MILLISECONDS;
-    return (
-        work * Math.max(1, upstream.health.slowness()) +
-        FAILURE_PENALTY_MILLISECONDS * upstream.health.failureShare() +
-        (isAvoided(upstream, context) ? AVOIDED_PENALTY_MILLISECONDS : 0) +
-        (upstream.coldUntil > context.now ? COLD_PENALTY_MILLISECONDS : 0) +
-        (isFull ? FULL_PENALTY_MILLISECONDS : 0) +
-        context.random() * MAXIMUM_JITTER_MILLISECONDS
-    );
-}
-
 /** Maps a key to an upstream id by rendezvous hashing: nodes with the same upstreams get the same result. */
 function preferredUpstream(upstreams: readonly RegisteredUpstream[], key: string): string | undefined {
     let best: string | undefined;
@@ -199,6 +154,13 @@
                 hasColdAllowance(upstream, context.now, context.coldAllowance(upstream))),
     );
     const candidates = candidatesOf(upstreams, allowed, context);
+    // A shift compares its versions on the upstreams that it names, wherever they are.
+    const isConcentrated =
+        context.versionPreference?.testedUpstreams !== undefined ||
+        (context.versionPreference?.upstreamShare ?? 1) < 1;
+    if (context.dataCentres !== undefined && !isConcentrated) {
+        return chooseAcrossDataCentres(candidates, context, context.dataCentres);
+    }
     const preferred =
         context.affinityKey === undefined ? undefined : preferredUpstream(candidates, context.affinityKey);
     let best: RegisteredUpstream | undefined;
