Keep looking for an upstream while many of a service are gone

Cause, by the logs: after four refused connections, or three answers 421 of other processes at the addresses of crashed ones, a request was rejected although two thirds of the upstreams were well. Each node also had to find out each crashed upstream by itself.

A refused connection costs a few milliseconds, so attempts that do not get to their upstream are now bounded by the time that they take, as long as four timeouts, and by their number, 16; 421 counts among them. Upstreams whose process is gone are listed in load reports, so that nodes avoid them once two others have met them. Timeouts are not listed: they may be the node's own.

--- a/src/node/daemon/__tests__/fake-upstreams.ts
+++ b/src/node/daemon/__tests__/fake-upstreams.ts
@@ -125,7 +125,7 @@
         const fail = (reason: string): void => {
             if (!exchange.ended) {
                 exchange.finish();
-                deliver(() => handlers.onFailure("may-have-run", reason, true));
+                deliver(() => handlers.onFailure("may-have-run", reason, true, false));
             }
         };
         state.running.add(exchange);
@@ -269,10 +269,10 @@
                         ended = true;
                         handlers.onEnd();
                     }),
-                onFailure: (verdict, reason, isBrokenOff) =>
+                onFailure: (verdict, reason, isBrokenOff, isRefused) =>
                     unlessEnded(() => {
                         ended = true;
-                        handlers.onFailure(verdict, reason, isBrokenOff);
+                        handlers.onFailure(verdict, reason, isBrokenOff, isRefused);
                     }),
             };
             setTimeout(() => {
@@ -280,13 +280,15 @@
                     return;
                 }
                 if (state.faults.down) {
-                    deliver(() => handlersUntilEnd.onFailure("not-run", "connection refused", false));
+                    deliver(() => handlersUntilEnd.onFailure("not-run", "connection refused", false, true));
                     return;
                 }
                 exchange = serve(state, request, deliver, handlersUntilEnd);
                 restartHandlers.set(exchange, () => {
                     exchange!.finish();
-                    deliver(() => handlersUntilEnd.onFailure("may-have-run", "the upstream restarted", true));
+                    deliver(() =>
+                        handlersUntilEnd.onFailure("may-have-run", "the upstream restarted", true, false),
+                    );
                 });
             }, CONNECT_MILLISECONDS);
             return {
@@ -306,7 +308,12 @@
                     if (state.version !== "") {
                         exchange?.finish();
                     }
-                    handlersUntilEnd.onFailure(reached ? "may-have-run" : "not-run", "cancelled", false);
+                    handlersUntilEnd.onFailure(
+                        reached ? "may-have-run" : "not-run",
+                        "cancelled",
+                        false,
+                        false,
+                    );
                 },
             };
         },
--- a/src/node/forwarding/attempt-policy.ts
+++ b/src/node/forwarding/attempt-policy.ts
@@ -30,8 +30,10 @@
     readonly executions: number;
     /** Attempts that upstreams rejected. */
     readonly rejections: number;
-    /** Attempts that got no connection to their upstream. */
+    /** Attempts that did not get to their upstream: no connection, or one to another process. */
     readonly unreached: number;
+    /** Time that these attempts took, milliseconds. */
+    readonly unreachedMilliseconds: number;
     /** The caller has received the beginning of a response. */
     readonly hasBegun: boolean;
     /** The stream goes to its caller without framing, and another attempt has ended after the same event. */
@@ -50,8 +52,15 @@
 /** Rejected attempts after which the request is rejected. More would only add load to full upstreams. */
 const MAXIMUM_REJECTIONS = 3;
 
-/** Attempts without a connection after which the request is rejected. */
-const MAXIMUM_UNREACHED = 4;
+/**
+ * Time that a request may spend on attempts that do not get to their upstream, milliseconds: four timeouts of
+ * connections. A refused connection takes a few milliseconds, so their number hardly matters: when half of the
+ * upstreams of a service had crashed, a limit of four attempts rejected one request in sixteen.
+ */
+const MAXIMUM_UNREACHED_MILLISECONDS = 1600;
+
+/** Attempts of this kind after which the request is rejected all the same. */
+const MAXIMUM_UNREACHED = 16;
 
 const HTTP_TOO_MANY = 429;
 const HTTP_UNAVAILABLE = 503;
@@ -89,14 +98,16 @@
         case "doubted":
             return { kind: "retry", reason: "escalated to a larger model" };
         case "not-run": {
-            // An attempt that reached no upstream added no load, so another one is no retry.
-            const mayAttempt = result.isUnreached
-                ? progress.unreached < MAXIMUM_UNREACHED
-                : progress.rejections < MAXIMUM_REJECTIONS;
+            const mayAttempt =
+                result.isUnreached === true || result.isGone === true
+                    ? progress.unreached < MAXIMUM_UNREACHED &&
+                      progress.unreachedMilliseconds < MAXIMUM_UNREACHED_MILLISECONDS
+                    : progress.rejections < MAXIMUM_REJECTIONS;
             const mayRetry =
                 mayAttempt &&
                 progress.remainingMilliseconds > MINIMUM_REMAINING_MILLISECONDS &&
                 progress.hasCandidate &&
+                // An attempt that reached no upstream added no load, so another one is no retry.
                 (result.isUnreached === true || progress.tryConsumeRetry());
             return mayRetry
                 ? { kind: "retry", reason: result.reason }
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -33,6 +33,8 @@
           readonly retryAfterSeconds?: number;
           /** No connection to the upstream was established. @default false */
           readonly isUnreached?: boolean;
+          /** No process listens at the upstream's address, or another one does. @default false */
+          readonly isGone?: boolean;
           /** Status of a rejection. */
           readonly status?: number;
           /** Rejections per second, of all nodes, above which the upstream crashes. */
@@ -264,6 +266,7 @@
                     reason: `upstream answered ${status}`,
                     retryAfterSeconds: head.retryAfterSeconds,
                     status,
+                    isGone: status === HTTP_MISDIRECTED,
                     maximumRejectionsPerSecond: head.maximumRejectionsPerSecond,
                 });
                 return;
@@ -404,11 +407,16 @@
             finish({ kind: "failed", reason: `upstream answered ${status}`, response });
         };
 
-        const onFailure = (verdict: string, reason: string, isBrokenOff: boolean): void => {
+        const onFailure = (
+            verdict: string,
+            reason: string,
+            isBrokenOff: boolean,
+            isRefused: boolean,
+        ): void => {
             clearTimeout(discardTimer);
             finish(
                 verdict === "not-run"
-                    ? { kind: "not-run", reason, isUnreached: !isBrokenOff }
+                    ? { kind: "not-run", reason, isUnreached: !isBrokenOff, isGone: isRefused }
                     : { kind: "lost", reason, isBrokenOff },
             );
         };
@@ -439,8 +447,8 @@
             onHead,
             onChunk,
             onEnd,
-            onFailure: (verdict, reason, isBrokenOff) =>
-                onFailure(started ? "may-have-run" : verdict, reason, isBrokenOff),
+            onFailure: (verdict, reason, isBrokenOff, isRefused) =>
+                onFailure(started ? "may-have-run" : verdict, reason, isBrokenOff, isRefused),
         });
     });
 }
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -255,6 +255,7 @@
         let executions = 0;
         let rejections = 0;
         let unreached = 0;
+        let unreachedMilliseconds = 0;
         let handovers = 0;
         let waits = 0;
         let firstByteMilliseconds: number | undefined;
@@ -307,6 +308,7 @@
             executions,
             rejections,
             unreached,
+            unreachedMilliseconds,
             hasBegun: sink.hasBegun(),
             isEndAgreed,
             canContinue: !sink.hasBegunPlain(),
@@ -520,7 +522,7 @@
                     headMilliseconds: headMilliseconds ?? endedAt - sentAt,
                 });
             }
-            recordResult(result, upstream, stratum, timing);
+            recordResult(result, upstream, stratum, timing, endedAt - sentAt);
             recordEnd(result);
             trace.add("attempts", "An attempt ended.", {
                 upstream: upstream.entry.id,
@@ -563,6 +565,7 @@
             upstream: RegisteredUpstream,
             stratum: string,
             timing: AttemptTiming,
+            milliseconds: number,
         ): void => {
             const now = clock.now();
             switch (result.kind) {
@@ -574,10 +577,13 @@
                 case "not-run":
                     excluded.add(upstream.entry.id);
                     retryAfterSeconds = result.retryAfterSeconds;
-                    if (result.isUnreached === true) {
+                    if (result.isUnreached === true || result.isGone === true) {
                         unreached += 1;
-                        upstream.health.recordUnreached(now);
-                        options.recordUnanswered(upstream);
+                        unreachedMilliseconds += milliseconds;
+                        upstream.health.recordUnreached(now, result.isGone === true);
+                        if (result.isUnreached === true) {
+                            options.recordUnanswered(upstream);
+                        }
                     }
                     else {
                         rejections += 1;
--- a/src/node/upstream-table/__tests__/upstream-table.spec.ts
+++ b/src/node/upstream-table/__tests__/upstream-table.spec.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { silentLogging } from "../../logging/logging.js";
+import { createUpstreamHealth } from "../upstream-health.js";
 import { createUpstreamTable } from "../upstream-table.js";
 import type { UpstreamEntry } from "../upstream-table.js";
 import { createEntry } from "./upstream-fixtures.js";
@@ -82,3 +83,12 @@
     table.apply([change("a"), { key: "x", revision: 1, value: "bad" }, change("b")], 0);
     assert.deepEqual(ids(table), ["a", "b"]);
 });
+
+test("other nodes are told of an upstream whose process is gone, but not of timeouts", () => {
+    const health = createUpstreamHealth();
+    health.recordUnreached(0, false);
+    assert.deepEqual([health.isAvoided(10), health.isEjected(10)], [true, false]);
+    health.recordUnreached(100, true);
+    assert.deepEqual([health.isAvoided(110), health.isEjected(110)], [true, true]);
+    assert.equal(health.isEjected(1200), false);
+});
--- a/src/node/upstream-table/upstream-health.ts
+++ b/src/node/upstream-table/upstream-health.ts
@@ -7,7 +7,7 @@
     slowness(): number;
     /** Whether requests should use another upstream for now, if there is one. */
     isAvoided(now: number): boolean;
-    /** Whether this node has ejected the upstream because of failed requests. */
+    /** Whether this node has ejected the upstream because of failed requests, or because it is gone. */
     isEjected(now: number): boolean;
     /** Whether the upstream has just rejected a request, or could not be reached. */
     isUnavailable(now: number): boolean;
@@ -22,8 +22,13 @@
      * @param pauseSeconds Time for which the upstream wants nothing from this node.
      */
     recordRejection(now: number, pauseSeconds?: number): void;
-    /** Records that no connection to the upstream was established. */
-    recordUnreached(now: number): void;
+    /**
+     * Records that a request did not get to the upstream.
+     *
+     * @param isGone No process listens at its address, or another one does. Unlike a timeout, which can come
+     * from a fault of this node's network, this is worth telling other nodes.
+     */
+    recordUnreached(now: number, isGone: boolean): void;
 }
 
 /** Weight of the newest request in the moving averages. */
@@ -44,7 +49,7 @@
 /** Time for which an upstream is avoided after it rejects a request, milliseconds. */
 const REJECTION_AVOIDANCE_MILLISECONDS = 250;
 
-/** Time for which an upstream is avoided after a connection to it was not established, milliseconds. */
+/** Time for which an upstream is avoided after a request did not get to it, milliseconds. */
 const UNREACHED_AVOIDANCE_MILLISECONDS = 1000;
 
 export function createUpstreamHealth(): UpstreamHealth {
@@ -53,13 +58,14 @@
     let consecutiveFailures = 0;
     let ejectedUntil = 0;
     let rejectedUntil = 0;
+    let goneUntil = 0;
     let pausedUntil = 0;
 
     return {
         failureShare: () => failureShare,
         slowness: () => slowness,
         isAvoided: now => now < ejectedUntil || now < rejectedUntil,
-        isEjected: now => now < ejectedUntil,
+        isEjected: now => now < ejectedUntil || now < goneUntil,
         isUnavailable: now => now < rejectedUntil,
         recordSuccess: value => {
             failureShare *= 1 - SMOOTHING_WEIGHT;
@@ -87,8 +93,9 @@
             pausedUntil = Math.max(pausedUntil, now + pauseSeconds * 1000);
             rejectedUntil = Math.max(rejectedUntil, now + REJECTION_AVOIDANCE_MILLISECONDS);
         },
-        recordUnreached: now => {
+        recordUnreached: (now, isGone) => {
             rejectedUntil = now + UNREACHED_AVOIDANCE_MILLISECONDS;
+            goneUntil = isGone ? rejectedUntil : goneUntil;
         },
     };
 }
--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -36,9 +36,10 @@
     readonly onEnd: () => void;
     /**
      * The exchange failed or was cancelled. `verdict` is `not-run` only if no byte of the request was written
-     * to a connection. `isBrokenOff` states that the upstream closed or reset the connection.
+     * to a connection. `isBrokenOff` states that the upstream closed or reset the connection, `isRefused` that
+     * no process listens at its address.
      */
-    readonly onFailure: (verdict: Verdict, reason: string, isBrokenOff: boolean) => void;
+    readonly onFailure: (verdict: Verdict, reason: string, isBrokenOff: boolean, isRefused: boolean) => void;
 }
 
 /** A running request and its response. */
@@ -184,6 +185,7 @@
                 writeStarted ? "may-have-run" : "not-run",
                 error.message,
                 BROKEN_OFF_CODES.has(error.code) || connection?.hasEnded() === true,
+                error.code === "ECONNREFUSED",
             );
         };
         const agent = request.dedicatedConnection === true ? singleUseAgent : pooledAgent;
