Let feed calls wait longer where the time limit allows it

The feed of configurations returned every 0.6 s without a change, only to notice a silent store, and nearly every other feed call returned early with one changed row. All tables share one revision counter, so a response for any table shows whether another one may lack a change. With [store] applyMilliseconds of at least 3,000, feed calls wait up to 1.9 s, and pauses of 0.4 to 0.7 s batch changes. A table that lacks a revision which its open call has not brought is read again at once; if no feed has returned for 0.65 s, the store is called. Where revisions do not tell, for instance because the store counts in larger steps, the former waits return for a minute.

--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -10,9 +10,11 @@
 import type { Clock } from "../common/clock.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
+import { createFeedMonitor } from "./feed-monitor.js";
+import type { FeedCheck } from "./feed-monitor.js";
 import type { RelayCandidate } from "./relay-choice.js";
 import type { PeerResponse, RowExchange } from "./row-exchange.js";
-import type { RowReplica } from "./row-replica.js";
+import type { ChangeSet, RowReplica } from "./row-replica.js";
 import { TABLE_NAMES } from "./shared-store.js";
 import type { SharedStore, TableName } from "./shared-store.js";
 import type { StoreTiming } from "./store-timing.js";
@@ -35,8 +37,11 @@
     nodes: 1900,
 };
 
-/** Pause between feed calls of a table, milliseconds. Batches changes in quick succession. */
-const FEED_PAUSE_MILLISECONDS = 100;
+/** Interval at which a node that reads the store checks its feeds, milliseconds. */
+const MONITOR_INTERVAL_MILLISECONDS = 50;
+
+/** Interval between checks whether the probe table has been read, milliseconds. */
+const PROBE_POLL_MILLISECONDS = 100;
 
 /** Initial and maximum pause after a failed call, milliseconds. Doubles with each failure. */
 const INITIAL_RETRY_PAUSE_MILLISECONDS = 200;
@@ -105,6 +110,9 @@
     const readTables = new Set<TableName>();
     /** Monotonic time until which a relay is not called, by node id. */
     const avoidedUntil = new Map<string, number>();
+    const monitor = createFeedMonitor();
+    /** Ends the open feed call of a table, with an error or as if it had brought nothing. */
+    const abandonCall = new Map<TableName, (error?: Error) => void>();
     let relay: Relay | undefined;
     let relayClockOffset: number | undefined;
     let relayPath: readonly string[] = [];
@@ -139,22 +147,91 @@
         }
     };
 
+    const waitForRelayLoss = (): Promise<void> => new Promise(resolve => wakeReaders.push(resolve));
+
+    const apply = (table: TableName, changes: ChangeSet): void => {
+        const isRestored = changes.epoch !== replicas[table].epoch && replicas[table].revision > 0;
+        replicas[table].apply(changes);
+        monitor.recordResponse(table, changes, clock.now());
+        if (isRestored && timing.isMonitored) {
+            // Revisions of two epochs do not tell what a table lacks.
+            abandonCall.forEach((abandon, other) => (other === table ? undefined : abandon()));
+        }
+    };
+
+    /** Resolves to `undefined` when the call is abandoned because its connection has gone silent. */
+    const untilAbandoned = <Result>(table: TableName, call: Promise<Result>): Promise<Result | undefined> =>
+        Promise.race([
+            call,
+            new Promise<undefined>((resolve, reject) => {
+                abandonCall.set(table, error => (error === undefined ? resolve(undefined) : reject(error)));
+            }),
+        ]);
+
+    const feedWait = (table: TableName): number =>
+        timing.isMonitored ? monitor.beginCall(table, clock.now()) : FEED_WAIT_MILLISECONDS[table];
+
     const readOnce = async (table: TableName): Promise<void> => {
         const replica = replicas[table];
         // The first call after an interruption does not wait, so that the reconnection is detected early.
-        const wait = readTables.has(table) && !failedTables.has(table) ? FEED_WAIT_MILLISECONDS[table] : 0;
+        const wait = readTables.has(table) && !failedTables.has(table) ? feedWait(table) : 0;
         const isFirst = replica.revision === 0 && !readTables.has(table);
-        const changes = isFirst ? undefined : await store.readChanges(table, replica.revision, wait);
-        const isOfEpoch = changes !== undefined && changes.epoch === replica.epoch;
-        replica.apply(isOfEpoch ? changes : await store.readTable(table));
+        const reading = async (): Promise<ChangeSet> => {
+            const changes = isFirst ? undefined : await store.readChanges(table, replica.revision, wait);
+            const isOfEpoch = changes !== undefined && changes.epoch === replica.epoch;
+            return isOfEpoch ? changes : store.readTable(table);
+        };
+        const changes = await untilAbandoned(table, reading()).finally(() => monitor.endCall(table));
+        if (changes !== undefined) {
+            apply(table, changes);
+        }
     };
 
-    const waitForRelayLoss = (): Promise<void> => new Promise(resolve => wakeReaders.push(resolve));
+    /** Reads the newer rows of a table beside its feed, whose connection may have gone silent. */
+    const checkFeed = async ({ table, reason }: FeedCheck): Promise<void> => {
+        const replica = replicas[table];
+        const abandon = abandonCall.get(table);
+        try {
+            const changes = await store.readChanges(table, replica.revision, 0);
+            const isOfEpoch = changes !== undefined && changes.epoch === replica.epoch;
+            const isMissing = !isOfEpoch || changes.rows.some(row => row.revision > replica.revision);
+            if (reason === "gap") {
+                monitor.recordCheck(isMissing, clock.now());
+            }
+            if (isOfEpoch) {
+                apply(table, changes);
+            }
+            if (isMissing) {
+                logger.warn("A feed of the store has missed changes; calling again.", { table });
+                abandon?.();
+            }
+        }
+        catch (error) {
+            // A store that does not answer this call will not answer the open ones either.
+            abandonCall.forEach(abandonOpen => abandonOpen(error as Error));
+        }
+    };
+
+    const monitorFeeds = async (): Promise<void> => {
+        while (!stopped) {
+            if (relay !== undefined) {
+                await waitForRelayLoss();
+                monitor.reset(clock.now());
+                continue;
+            }
+            await delay(MONITOR_INTERVAL_MILLISECONDS);
+            const isReading = failedTables.size === 0 && readTables.size === TABLE_NAMES.length;
+            const check = relay === undefined && isReading ? monitor.beginCheck(clock.now()) : undefined;
+            if (check !== undefined && !stopped) {
+                await checkFeed(check);
+            }
+        }
+    };
 
     /** Waits until the store has answered a call for the probe table, or a relay is followed. */
     const waitForProbe = async (table: TableName): Promise<void> => {
         while (table !== PROBE_TABLE && failedTables.has(PROBE_TABLE) && relay === undefined && !stopped) {
-            await delay(FEED_PAUSE_MILLISECONDS);
+            await delay(PROBE_POLL_MILLISECONDS);
         }
     };
 
@@ -175,7 +252,7 @@
                 failedTables.delete(table);
                 updateConnection({ table, revision: replicas[table].revision });
                 pause = INITIAL_RETRY_PAUSE_MILLISECONDS;
-                await delay(FEED_PAUSE_MILLISECONDS);
+                await delay(timing.feedPauseMilliseconds[table]);
             }
             catch (error) {
                 if (stopped) {
@@ -300,6 +377,9 @@
         name: "store feeds",
         start: () => {
             TABLE_NAMES.forEach(table => void readStore(table));
+            if (timing.isMonitored) {
+                void monitorFeeds();
+            }
             void followRelays();
             return () => {
                 stopped = true;
