Keep requests in their data centre where the settings say so

Change: with preferOwnDataCentre, the forwarder passes the view of the data centres to the choice: bytes of the request and its expected answer, uses of its prefix by all nodes of the data centre, and the leaving share. The log names the terms of the choice; two counters show what leaves. Without the key, choice, log and metrics are as before.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -14,6 +14,7 @@
 import { isRepeatable } from "../routes/entities.js";
 import type { Route, Service, Workspace } from "../routes/entities.js";
 import type { LoadBoard } from "../upstream-table/load-board.js";
+import type { PlacedRequest, RequestPlacement } from "../upstream-table/request-placement.js";
 import { chooseUpstream } from "../upstream-table/upstream-choice.js";
 import type { Choice, VersionPreference } from "../upstream-table/upstream-choice.js";
 import type { UpstreamLimits } from "../upstream-table/upstream-limits.js";
@@ -129,6 +130,8 @@
     /** Requests per second that this node may send to one cold upstream of a service. */
     readonly coldAllowance: (service: Service, upstream: RegisteredUpstream) => number;
     readonly limits: Pick<UpstreamLimits, "hasRoom" | "record" | "consume">;
+    /** Absent where requests are placed by load alone. */
+    readonly placement?: RequestPlacement;
     /** Whether rejections crash the upstreams of a service. */
     readonly isBrittle: (service: string) => boolean;
     /** Whether an upstream has a slot for one more request of this node. */
@@ -281,6 +284,15 @@
             countRequest();
         }
 
+        const placedRequest = (): PlacedRequest => ({
+            service: service.name,
+            route: route.name,
+            targetLatencyMilliseconds: route.targetLatencyMilliseconds,
+            bodyBytes: request.body.length,
+            expectedEvents: route.kind === "stream" ? expectedOutputTokens(head) : 0,
+            affinityKey: affinityKeyOf(head, model),
+        });
+
         const nextChoice = (): Choice | undefined =>
             chooseUpstream(options.upstreamsOf(service.name), {
                 now: clock.now(),
@@ -297,6 +309,7 @@
                     options.limits.hasRoom(upstream.process, clock.now()) &&
                     (!options.isBrittle(service.name) || options.hasFreeSlot(upstream)),
                 random: options.random,
+                ...options.placement?.inputs(placedRequest(), clock.now()),
             });
 
         const progress = (hasCandidate: boolean): RequestProgress => ({
@@ -362,6 +375,7 @@
                 head.promptTokens * relativeCost(service, usedModel),
                 head.promptTokens + expectedOutputTokens(head),
             );
+            const placed = options.placement?.begin(placedRequest(), choice, sentAt);
             options.recordSend(session, upstream);
             recordSend(upstream, sentAt);
             options.limits.consume(process, sentAt);
@@ -376,6 +390,7 @@
                 loadTest: choice.isTest ? true : undefined,
                 remainingMilliseconds: Math.round(deadline - sentAt),
                 resumeAfter: sink.lastEventId(),
+                ...placed?.fields,
             });
             // Without another upstream, a request has no timeout for hung upstreams: it could not be retried.
             const canRetryElsewhere =
@@ -394,7 +409,7 @@
                 withdrawal.abort(QUARANTINE_REASONS[kindOfSuspect(suspect)]),
             );
             const result = await runAttempt({
-                send: options.send,
+                send: placed?.send ?? options.send,
                 request: {
                     address: `http://${upstream.entry.address}`,
                     method: request.method,
@@ -474,6 +489,7 @@
             });
             endWatch();
             load.end();
+            placed?.end();
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
             if (result.kind === "delivered") {
--- a/src/node/metrics/registry.ts
+++ b/src/node/metrics/registry.ts
@@ -8,8 +8,12 @@
 export type Labels = Readonly<Record<string, string>>;
 
 export interface MetricsRegistry {
-    /** Increments a counter. */
-    count(name: string, labels?: Labels): void;
+    /**
+     * Increments a counter.
+     *
+     * @param amount @default 1
+     */
+    count(name: string, labels?: Labels, amount?: number): void;
     /** Registers a gauge that `read` returns at each fetch. `undefined` omits it. */
     gauge(name: string, read: () => number | undefined): void;
     /** Records a duration. */
@@ -48,9 +52,9 @@
         ]);
 
     return {
-        count: (name, labels = {}) => {
+        count: (name, labels = {}, amount = 1) => {
             const series = seriesName(`${METRIC_PREFIX}${name}`, labels);
-            counters.set(series, (counters.get(series) ?? 0) + 1);
+            counters.set(series, (counters.get(series) ?? 0) + amount);
         },
         gauge: (name, read) => {
             gauges.set(`${METRIC_PREFIX}${name}`, read);
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -39,6 +39,9 @@
 import { createActiveNodes } from "../upstream-table/active-nodes.js";
 import { createBrittleServices } from "../upstream-table/brittle-services.js";
 import { createSlotShares } from "../upstream-table/slot-shares.js";
+import { createPrefixUses } from "../upstream-table/prefix-uses.js";
+import { createRequestPlacement } from "../upstream-table/request-placement.js";
+import { createSpillover } from "../upstream-table/spillover.js";
 import { createUpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
@@ -345,7 +348,24 @@
         }
     };
 
+    const placement =
+        config.placement.preferOwnDataCentre === true
+            ? createRequestPlacement({
+                  dataCentre: config.node.dataCentre,
+                  prices: config.placement,
+                  nodes: () => nodes.entries(),
+                  prefixUses: createPrefixUses(),
+                  spillover: createSpillover(random),
+                  send,
+                  countLeft: (service, reason) =>
+                      metrics.count("requests_left_data_centre_total", { service, reason }),
+                  countBytes: (direction, bytes) =>
+                      metrics.count("bytes_between_data_centres_total", { direction }, bytes),
+              })
+            : undefined;
+
     const forwarderOptions: RequestForwarderOptions = {
+        ...(placement === undefined ? {} : { placement }),
         loads,
         clock,
         random,
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -3,6 +3,7 @@
 import { parse } from "ini";
 import * as z from "zod/mini";
 import en from "zod/v4/locales/en.js";
+import { DEFAULT_PRICES } from "../upstream-table/leaving-cost.js";
 
 // Without a locale, zod/mini reports every problem as "Invalid input".
 z.config(en());
@@ -128,6 +129,10 @@
             preferOwnDataCentre: z.optional(z.boolean()),
             /** Learns the speed of each upstream from requests. @default false */
             learnSpeeds: z.optional(z.boolean()),
+            /** Bytes between data centres that cost as much as an answer in time is worth. @default 800000 */
+            answerBytes: z._default(positive, DEFAULT_PRICES.answerBytes),
+            /** Bytes between data centres that cost as much as one prompt token read again. @default 19 */
+            promptTokenBytes: z._default(positive, DEFAULT_PRICES.promptTokenBytes),
         }),
         {},
     ),
