Admit requests by the capacity of all upstreams where it is scarce

Cause: a request goes to the upstream with the lowest expected delay, also when all are full; an attempt that no upstream takes waits once for an eighth of its target and is then rejected. Less urgent requests that arrive first hold back urgent ones, and one failure of a plain upstream is not known to the other nodes, so that each of them loses two requests to it. Requests that run once have no time limit for hung upstreams, and their failures were not recorded at all.

Change, only where [scarcity] enabled is true: upstreams with a free slot are preferred. Where none has one, a request for engines waits at its node, and a plain request is sent as long as it can be answered in its time, and waits only after the upstreams have rejected it. Waiting requests begin in the order of urgency, in turns of their workspaces, within bounds of number and bytes. A request that cannot begin in its time is rejected with the time after which capacity is expected. One request without an answer makes a plain upstream suspect for a second; load reports share it, and the report of a single node counts for a second. The connection timeout of plain services is their target latency, at least 150 ms.

--- a/src/node/forwarding/__tests__/forwarder-fixture.ts
+++ b/src/node/forwarding/__tests__/forwarder-fixture.ts
@@ -87,7 +87,7 @@
     decodeResponse: (_status, headers) => ({
         attemptId: textOf(headers, "attempt"),
         isSigned: true,
-        isNotRun: false,
+        isNotRun: headers["not-run"] !== undefined,
         confidence: undefined,
         limitPerSecond: undefined,
         retryAfterSeconds: undefined,
@@ -183,7 +183,9 @@
 
 export async function createForwarderFixture(
     context: TestContext,
-    overrides: Partial<RequestForwarderOptions> = {},
+    overrides:
+        | Partial<RequestForwarderOptions>
+        | ((defaults: RequestForwarderOptions) => Partial<RequestForwarderOptions>) = {},
 ): Promise<ForwarderFixture> {
     const responders = new Map<string, RespondToAttempt>();
     const attempts = new Map<string, number>();
@@ -218,7 +220,7 @@
     const upstreams = Array.from({ length: UPSTREAM_COUNT }, (_, index) =>
         createTestUpstream(`e${index}`, { address: `127.0.0.1:${upstreamPort}` }),
     );
-    const forward = createRequestForwarder({
+    const defaults: RequestForwarderOptions = {
         clock: systemClock,
         random: Math.random,
         codec,
@@ -249,7 +251,10 @@
         countAttempt: () => undefined,
         countBrokenOff: () => undefined,
         recordEvidence: () => undefined,
-        ...overrides,
+    };
+    const forward = createRequestForwarder({
+        ...defaults,
+        ...(typeof overrides === "function" ? overrides(defaults) : overrides),
     });
     await lifecycle.start();
 
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -15,7 +15,7 @@
 import type { Route, Service, Workspace } from "../routes/entities.js";
 import type { LoadBoard } from "../upstream-table/load-board.js";
 import { chooseUpstream } from "../upstream-table/upstream-choice.js";
-import type { Choice, VersionPreference } from "../upstream-table/upstream-choice.js";
+import type { Choice, ChoiceContext, VersionPreference } from "../upstream-table/upstream-choice.js";
 import type { UpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { recordSend } from "../upstream-table/upstream-table.js";
 import type { RegisteredUpstream } from "../upstream-table/upstream-table.js";
@@ -46,7 +46,8 @@
 import { evidenceGroupOf } from "../shifts/shift-evidence.js";
 import type { AnswerOutcome } from "../shifts/shift-evidence.js";
 import type { ServiceRetryBudget } from "./retry-budget.js";
-import type { Scarcity } from "../scarcity/scarcity.js";
+import type { AcceptUpstream } from "../scarcity/restricted-choice.js";
+import type { AdmissionOutcome, Scarcity } from "../scarcity/scarcity.js";
 
 /** A request that was read to its end and matched to a route. */
 export interface MatchedRequest {
@@ -177,6 +178,9 @@
 /** Number of waits for a slot of an upstream that rejections crash; together the target latency. */
 const MAXIMUM_CAPACITY_WAITS = 8;
 
+/** Rejected attempts after which a request that may wait for capacity is rejected. */
+const MAXIMUM_REJECTIONS_WITH_WAITS = 8;
+
 /** Share of the retry budget that is unavailable to escalations and to the confirmation of ends. */
 const RETRY_RESERVE = 0.25;
 
@@ -284,8 +288,14 @@
             countRequest();
         }
 
-        const nextChoice = (): Choice | undefined =>
-            chooseUpstream(options.upstreamsOf(service.name), {
+        const exchange = options.scarcity?.open(
+            request,
+            { promptTokens: head.promptTokens, neededTokens: head.promptTokens + expectedOutputTokens(head) },
+            deadline,
+        );
+
+        const choose = (accepts?: AcceptUpstream): Choice | undefined => {
+            const context: ChoiceContext = {
                 now: clock.now(),
                 affinityKey: affinityKeyOf(head, model),
                 sharedTokens: sharedTokens(head) * relativeCost(service, model),
@@ -300,7 +310,15 @@
                     options.limits.hasRoom(upstream.process, clock.now()) &&
                     (!options.isBrittle(service.name) || options.hasFreeSlot(upstream)),
                 random: options.random,
-            });
+            };
+            return chooseUpstream(
+                options.upstreamsOf(service.name),
+                exchange?.restrict(context, accepts) ?? context,
+            );
+        };
+
+        const nextChoice = (): Choice | undefined =>
+            exchange === undefined ? choose() : exchange.choose(choose);
 
         const progress = (hasCandidate: boolean): RequestProgress => ({
             route,
@@ -392,6 +410,8 @@
                 canRetryElsewhere && canConfirm
                     ? Math.min(choice.candidates, route.maximumAttempts - executions) - 1
                     : 0;
+            const scarceAttempt = exchange?.begin(upstream);
+            const usualHeadMilliseconds = route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO;
             const withdrawal = new AbortController();
             const endWatch = options.quarantine.watch(suspects, suspect =>
                 withdrawal.abort(QUARANTINE_REASONS[kindOfSuspect(suspect)]),
@@ -419,9 +439,11 @@
                 sink,
                 decodeHead: (status, headers) => codec.decodeResponse(status, headers),
                 tryEscalate,
-                connectMilliseconds: CONNECT_MILLISECONDS,
+                connectMilliseconds:
+                    options.scarcity?.connectMilliseconds(route, service) ?? CONNECT_MILLISECONDS,
                 headMilliseconds: hasTimeouts
-                    ? route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO
+                    ? (scarceAttempt?.headMilliseconds(usualHeadMilliseconds, deadline - sentAt) ??
+                      usualHeadMilliseconds)
                     : undefined,
                 gapMilliseconds:
                     hasTimeouts && route.targetGapMilliseconds !== undefined
@@ -451,6 +473,7 @@
                     }
                 },
                 onHead: (responseHead, status, isFramed) => {
+                    scarceAttempt?.recordHead();
                     isUnframed = !isFramed;
                     if (isSuccess(status) && responseHead.isEventStream) {
                         options.framing.record(service.name, isFramed);
@@ -478,6 +501,7 @@
             });
             endWatch();
             load.end();
+            scarceAttempt?.end(result);
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
             if (result.kind === "delivered") {
@@ -699,6 +723,7 @@
 
         const runAttempts = async (): Promise<NextStep> => {
             const excludedHelpers = new Set<string>();
+            let isAdmitted = false;
             for (;;) {
                 const end = await reasonNotToSend();
                 if (end !== undefined) {
@@ -711,7 +736,20 @@
                 if (handedOver !== undefined) {
                     return handedOver;
                 }
-                let choice = nextChoice();
+                const admission: AdmissionOutcome | undefined =
+                    isAdmitted || executions > 0 || sink.hasBegun()
+                        ? undefined
+                        : await exchange?.admit(choose, () => excluded.clear());
+                if (admission?.kind === "rejected") {
+                    retryAfterSeconds = admission.retryAfterSeconds;
+                    return rejectOrFail(progress(false), admission.reason);
+                }
+                // After a wait, the caller may have left.
+                isAdmitted = admission?.hasWaited === true;
+                if (isAdmitted) {
+                    continue;
+                }
+                let choice = admission?.choice ?? nextChoice();
                 while (choice === undefined && executions === 0 && (await waitForCapacity())) {
                     excluded.clear();
                     choice = nextChoice();
@@ -734,7 +772,13 @@
                 const result = await attemptAt(choice);
                 const canHandOver = options.handover?.isNeeded() === true;
                 const step = nextStep(result, progress(canHandOver || nextChoice() !== undefined));
-                if (step.kind !== "retry") {
+                const waitsAgain =
+                    step.kind === "reject" &&
+                    exchange !== undefined &&
+                    rejections > 0 &&
+                    rejections < MAXIMUM_REJECTIONS_WITH_WAITS &&
+                    options.retryBudget.tryConsume(service.name, clock.now());
+                if (step.kind !== "retry" && !waitsAgain) {
                     return step;
                 }
             }
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -41,6 +41,7 @@
 import { createSlotShares } from "../upstream-table/slot-shares.js";
 import { createUpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
+import { medianReportAge } from "../scarcity/report-age.js";
 import { createScarcity } from "../scarcity/scarcity.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
 import { createShiftCoordinator } from "../shifts/shift-coordinator.js";
@@ -318,11 +319,14 @@
         node: config.node.id,
         ...splitEndpoint(config.loads.listen),
         board: loads,
-        ejected: () =>
-            upstreams
+        ejected: () => {
+            const ejected = upstreams
                 .all()
                 .filter(upstream => upstream.health.isEjected(clock.now()))
-                .map(upstream => upstream.entry.id),
+                .map(upstream => upstream.entry.id);
+            const suspects = scarcity?.suspects() ?? [];
+            return suspects.length === 0 ? ejected : [...new Set([...ejected, ...suspects])];
+        },
         isIsolated: () => reachability.isIsolated(),
         peerStates,
         peers: () =>
@@ -346,20 +350,42 @@
         }
     };
 
+    const upstreamsOf: RequestForwarderOptions["upstreamsOf"] = service => {
+        const rule = shifts.rule(service);
+        return upstreams
+            .usable(service)
+            .filter(({ entry }) => !operators.isEvacuated(entry.dataCentre) && rule.isAllowed(entry.version));
+    };
+    const scarcity =
+        config.scarcity.enabled === true
+            ? createScarcity({
+                  clock,
+                  random,
+                  loads,
+                  upstreamsOf,
+                  nodeCount: () => nodes.count(),
+                  reportAgeMilliseconds: () => medianReportAge(nodes.ids(), loads, clock.now()),
+                  onSuspected: ({ entry }) => {
+                      upstreamsLog.info("An upstream did not answer; requests avoid it for a while.", {
+                          upstream: entry.id,
+                          service: entry.service,
+                      });
+                      loadReports.sendSoon();
+                  },
+                  countDecision: (service, decision) =>
+                      metrics.count("scarcity_decisions_total", { service, decision }),
+                  observeWait: (service, milliseconds) =>
+                      metrics.observe("scarcity_wait_milliseconds", milliseconds, { service }),
+              })
+            : undefined;
+
     const forwarderOptions: RequestForwarderOptions = {
         loads,
         clock,
         random,
         codec: adapter.codec,
         send,
-        upstreamsOf: service => {
-            const rule = shifts.rule(service);
-            return upstreams
-                .usable(service)
-                .filter(
-                    ({ entry }) => !operators.isEvacuated(entry.dataCentre) && rule.isAllowed(entry.version),
-                );
-        },
+        upstreamsOf,
         versionPreferenceOf: (service, { key, isSession }, failedVersions) =>
             shifts.preference(
                 service,
@@ -380,7 +406,7 @@
         }),
         quarantine,
         limits,
-        scarcity: config.scarcity.enabled === true ? createScarcity() : undefined,
+        scarcity,
         isBrittle: service => brittle.isBrittle(service, clock.now()),
         hasFreeSlot: ({ entry, process }) =>
             (loads.ownLoads().get(entry.id)?.requests ?? 0) <
@@ -504,6 +530,11 @@
     metrics.gauge("quarantined_requests", () => countQuarantined("request"));
     metrics.gauge("limited_upstreams", () => limits.size);
     metrics.gauge("sessions", () => sessions.size);
+    if (scarcity !== undefined) {
+        metrics.gauge("waiting_requests", () => scarcity.waitingRequests());
+        metrics.gauge("waiting_bytes", () => scarcity.waitingBytes());
+        metrics.gauge("suspect_upstreams", () => scarcity.suspects().length);
+    }
 
     const drain = async (startedAt: number): Promise<void> => {
         const { graceMilliseconds, announceMilliseconds } = config.stop;
