--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -16,7 +16,7 @@
 import type { LoadBoard } from "../upstream-table/load-board.js";
 import type { PlacedRequest, RequestPlacement } from "../upstream-table/request-placement.js";
 import { chooseUpstream } from "../upstream-table/upstream-choice.js";
-import type { Choice, VersionPreference } from "../upstream-table/upstream-choice.js";
+import type { Choice, ChoiceContext, VersionPreference } from "../upstream-table/upstream-choice.js";
 import type { UpstreamLimits } from "../upstream-table/upstream-limits.js";
 import { recordSend } from "../upstream-table/upstream-table.js";
 import type { RegisteredUpstream } from "../upstream-table/upstream-table.js";
@@ -47,7 +47,8 @@
 import { evidenceGroupOf } from "../shifts/shift-evidence.js";
 import type { AnswerOutcome } from "../shifts/shift-evidence.js";
 import type { ServiceRetryBudget } from "./retry-budget.js";
-import type { Scarcity } from "../scarcity/scarcity.js";
+import type { AcceptUpstream } from "../scarcity/restricted-choice.js";
+import type { AdmissionOutcome, Scarcity } from "../scarcity/scarcity.js";
 
 /** A request that was read to its end and matched to a route. */
 export interface MatchedRequest {
@@ -180,6 +181,9 @@
 /** Number of waits for a slot of an upstream that rejections crash; together the target latency. */
 const MAXIMUM_CAPACITY_WAITS = 8;
 
+/** Rejected attempts after which a request that may wait for capacity is rejected. */
+const MAXIMUM_REJECTIONS_WITH_WAITS = 8;
+
 /** Share of the retry budget that is unavailable to escalations and to the confirmation of ends. */
 const RETRY_RESERVE = 0.25;
 
@@ -297,8 +301,14 @@
             affinityKey: affinityKeyOf(head, model),
         });
 
-        const nextChoice = (): Choice | undefined =>
-            chooseUpstream(options.upstreamsOf(service.name), {
+        const exchange = options.scarcity?.open(
+            request,
+            { promptTokens: head.promptTokens, neededTokens: head.promptTokens + expectedOutputTokens(head) },
+            deadline,
+        );
+
+        const choose = (accepts?: AcceptUpstream): Choice | undefined => {
+            const context: ChoiceContext = {
                 now: clock.now(),
                 affinityKey: affinityKeyOf(head, model),
                 sharedTokens: sharedTokens(head) * relativeCost(service, model),
@@ -314,7 +324,15 @@
                     (!options.isBrittle(service.name) || options.hasFreeSlot(upstream)),
                 random: options.random,
                 ...options.placement?.inputs(placedRequest(), clock.now()),
-            });
+            };
+            return chooseUpstream(
+                options.upstreamsOf(service.name),
+                exchange?.restrict(context, accepts) ?? context,
+            );
+        };
+
+        const nextChoice = (): Choice | undefined =>
+            exchange === undefined ? choose() : exchange.choose(choose);
 
         const progress = (hasCandidate: boolean): RequestProgress => ({
             route,
@@ -409,6 +427,8 @@
                 canRetryElsewhere && canConfirm
                     ? Math.min(choice.candidates, route.maximumAttempts - executions) - 1
                     : 0;
+            const scarceAttempt = exchange?.begin(upstream);
+            const usualHeadMilliseconds = route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO;
             const withdrawal = new AbortController();
             const endWatch = options.quarantine.watch(suspects, suspect =>
                 withdrawal.abort(QUARANTINE_REASONS[kindOfSuspect(suspect)]),
@@ -436,9 +456,11 @@
                 sink,
                 decodeHead: (status, headers) => codec.decodeResponse(status, headers),
                 tryEscalate,
-                connectMilliseconds: CONNECT_MILLISECONDS,
+                connectMilliseconds:
+                    options.scarcity?.connectMilliseconds(route, service) ?? CONNECT_MILLISECONDS,
                 headMilliseconds: hasTimeouts
-                    ? route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO
+                    ? (scarceAttempt?.headMilliseconds(usualHeadMilliseconds, deadline - sentAt) ??
+                      usualHeadMilliseconds)
                     : undefined,
                 gapMilliseconds:
                     hasTimeouts && route.targetGapMilliseconds !== undefined
@@ -468,6 +490,7 @@
                     }
                 },
                 onHead: (responseHead, status, isFramed) => {
+                    scarceAttempt?.recordHead();
                     isUnframed = !isFramed;
                     if (isSuccess(status) && responseHead.isEventStream) {
                         options.framing.record(service.name, isFramed);
@@ -496,6 +519,7 @@
             endWatch();
             load.end();
             placed?.end();
+            scarceAttempt?.end(result);
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
             if (result.kind === "delivered") {
@@ -724,6 +748,7 @@
 
         const runAttempts = async (): Promise<NextStep> => {
             const excludedHelpers = new Set<string>();
+            let isAdmitted = false;
             for (;;) {
                 const end = await reasonNotToSend();
                 if (end !== undefined) {
@@ -736,7 +761,20 @@
                 if (handedOver !== undefined) {
                     return handedOver;
                 }
-                let choice = nextChoice();
+                const admission: AdmissionOutcome | undefined =
+                    isAdmitted || executions > 0 || sink.hasBegun()
+                        ? undefined
+                        : await exchange?.admit(choose, () => excluded.clear());
+                if (admission?.kind === "rejected") {
+                    retryAfterSeconds = admission.retryAfterSeconds;
+                    return rejectOrFail(progress(false), admission.reason);
+                }
+                // After a wait, the caller may have left.
+                isAdmitted = admission?.hasWaited === true;
+                if (isAdmitted) {
+                    continue;
+                }
+                let choice = admission?.choice ?? nextChoice();
                 while (choice === undefined && executions === 0 && (await waitForCapacity())) {
                     excluded.clear();
                     choice = nextChoice();
@@ -759,7 +797,13 @@
                 const result = await attemptAt(choice);
                 const canHandOver = options.handover?.isNeeded() === true;
                 const step = nextStep(result, progress(canHandOver || nextChoice() !== undefined));
-                if (step.kind !== "retry") {
+                const waitsAgain =
+                    step.kind === "reject" &&
+                    exchange !== undefined &&
+                    rejections > 0 &&
+                    rejections < MAXIMUM_REJECTIONS_WITH_WAITS &&
+                    options.retryBudget.tryConsume(service.name, clock.now());
+                if (step.kind !== "retry" && !waitsAgain) {
                     return step;
                 }
             }
