Bound the calls of all nodes to an unavailable store

Each node called a store that was away every 0.2 to 0.8 s, so 72 nodes made 90 calls a second. A relay that has lost the store now holds the calls of its followers open and answers as soon as it has the store again. So only the nodes without a reachable relay call every 0.8 to 1 s; the others call once when they lose the store and then the more seldom the more nodes there are, because the store may reject their relays and serve them. A node whose relay reports the loss reads one table first instead of three, and, with applyMilliseconds of at least 3,000, leaves other relays 0.1 s to have the store before it does so.

--- a/src/node/replica/__tests__/feed-monitor.spec.ts
+++ b/src/node/replica/__tests__/feed-monitor.spec.ts
@@ -106,6 +106,8 @@
             completeWaitingCalls: () => undefined,
         },
         relays: () => [],
+        nodeCount: () => 1,
+        random: createSeededRandom(1),
         clock: { now: Date.now, wallTime: Date.now },
         lifecycle,
         logger: silentLogging("store"),
--- a/src/node/replica/__tests__/relays.spec.ts
+++ b/src/node/replica/__tests__/relays.spec.ts
@@ -3,6 +3,7 @@
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import fc from "fast-check";
+import { createSeededRandom } from "../../common/random.js";
 import type { JsonValue } from "../../common/json.js";
 import { createLifecycle } from "../../lifecycle/lifecycle.js";
 import type { Lifecycle } from "../../lifecycle/lifecycle.js";
@@ -160,6 +161,8 @@
             replicas,
             exchange,
             relays: () => relays(entry, entries, timing.isRegional),
+            nodeCount: () => size,
+            random: createSeededRandom(nodes.length),
             clock,
             lifecycle,
             logger: silentLogging("store"),
@@ -514,3 +517,69 @@
     await fleet.advance(8000);
     assert.deepEqual(fleet.nodes.map(({ sync }) => sync.path().length).sort(), [1, 2, 2]);
 });
+
+for (const applyMilliseconds of [APPLY_MILLISECONDS, REGIONAL_APPLY_MILLISECONDS]) {
+    // Without the relays' help, each of the nodes would call 1.25 times a second.
+    test(`72 nodes call an unavailable store seldom, and have it soon again: ${applyMilliseconds} ms`, async context => {
+        const fleet = await createFleet(context, 72, 4, false, relaysOf, { applyMilliseconds, regions: 2 });
+        await fleet.advance(8000);
+        fleet.nodes.forEach(node => {
+            node.canReachStore = false;
+        });
+        const atLoss = fleet.storeCalls();
+        await fleet.advance(5000);
+        const before = fleet.storeCalls();
+        context.diagnostic(`${before - atLoss} calls in the first 5 s`);
+        await fleet.advance(30_000);
+        const rate = (fleet.storeCalls() - before) / 30;
+        context.diagnostic(`${rate.toFixed(1)} calls a second afterwards`);
+        assert.ok(before - atLoss <= 4 * 72, `${before - atLoss} calls in the first 5 s`);
+        assert.ok(rate <= 16, `${rate} calls a second`);
+        assert.ok(fleet.nodes.every(({ sync }) => sync.isDisconnected()));
+        for (let outage = 0; outage < 3; outage += 1) {
+            fleet.nodes.forEach(node => {
+                node.canReachStore = true;
+            });
+            fleet.write(`${outage}`);
+            await fleet.advance(1100);
+            assert.deepEqual(valuesOf(fleet.nodes), [`${outage}`]);
+            assert.ok(fleet.nodes.every(({ sync }) => sync.isCurrent()));
+            await fleet.advance(8000);
+            fleet.nodes.forEach(node => {
+                node.canReachStore = false;
+            });
+            await fleet.advance(7000 + 310 * outage);
+        }
+    });
+}
+
+test("few nodes read a store that rejects the reader of a region", async context => {
+    const fleet = await createRegionalFleet(context, 40, 4, 1);
+    await fleet.advance(8000);
+    const [reader] = fleet.readers();
+    const before = fleet.nodes.map(node => node.storeCalls);
+    reader!.canReachStore = false;
+    await fleet.advance(3000);
+    const callers = fleet.nodes.filter((node, index) => node.storeCalls > before[index]!);
+    assert.ok(callers.length <= 8, `${callers.length} nodes read the store`);
+    fleet.write("second");
+    await fleet.advance(600);
+    assert.deepEqual(valuesOf(fleet.nodes.filter(node => node !== reader)), ["second"]);
+});
+
+// The store serves a node behind relays that it rejects; the node must not wait for them.
+test("a node reads the store itself when the store rejects its relays only", async context => {
+    const fleet = await createRegionalFleet(context, 12, 1, 1);
+    await fleet.advance(8000);
+    const entries = fleet.nodes.map(({ id, dataCentre }) => ({ id, dataCentre, peerAddress: id }));
+    const last = fleet.nodes.find(({ id }) => relaysOf({ id, dataCentre: "dc-0" }, entries).length === 3)!;
+    const relays = relaysOf({ id: last.id, dataCentre: "dc-0" }, entries).map(({ id }) => id);
+    fleet.nodes
+        .filter(({ id }) => relays.includes(id))
+        .forEach(node => {
+            node.canReachStore = false;
+        });
+    fleet.write("second");
+    await fleet.advance(REGIONAL_APPLY_MILLISECONDS - TRANSFER_AND_DECODE_MILLISECONDS);
+    assert.equal(last.value(), "second");
+});
--- a/src/node/replica/row-exchange.ts
+++ b/src/node/replica/row-exchange.ts
@@ -40,12 +40,19 @@
     readonly epochs?: Readonly<Record<TableName, number>>;
     /** Maximum time to wait for changes, milliseconds. 0 requests an immediate response. */
     readonly waitMilliseconds: number;
+    /**
+     * Maximum time to wait while the called node has lost the store, milliseconds. Earlier versions neither send
+     * it nor wait for it.
+     */
+    readonly storeWaitMilliseconds?: number;
     /** Whether the calling node reads compressed values. Nodes of earlier versions do not. */
     readonly acceptsCompressed?: boolean;
 }
 
 interface WireResponse {
     readonly isCurrent: boolean;
+    /** The node waits for `storeWaitMilliseconds`. Earlier versions do not send it. */
+    readonly waitsForStore?: boolean;
     /** Nodes between the caller and the store, the responding one first. Earlier versions do not send it. */
     readonly path?: readonly string[];
     readonly storeMilliseconds?: number;
@@ -58,6 +65,8 @@
 export interface PeerResponse {
     /** Whether the peer is connected to the store, directly or through a relay. */
     readonly isCurrent: boolean;
+    /** Whether the peer waits until it has the store again, when it is asked to. */
+    readonly waitsForStore: boolean;
     /** Whether the peer has a table of an earlier epoch of the store than this node, or does not state it. */
     readonly isBehind: boolean;
     /** Nodes between this node and the store, the peer first; `undefined` for a peer of an earlier version. */
@@ -72,6 +81,7 @@
     /**
      * Reads the rows that are newer at a peer.
      *
+     * @param storeWaitMilliseconds Maximum time that the peer waits while it has lost the store.
      * @param mayStartStale Whether a node without rows takes those of a peer that has lost the store. They may
      * list upstreams that have left and keys that were withdrawn.
      * @throws PeerError
@@ -81,8 +91,12 @@
         waitMilliseconds: number,
         timeoutMilliseconds: number,
         mayStartStale: boolean,
+        storeWaitMilliseconds?: number,
     ): Promise<PeerResponse>;
-    /** Ends the long polls of peers immediately. Called when this node loses its connection to the store. */
+    /**
+     * Ends the long polls of peers immediately. Called when this node loses its connection to the store or has it
+     * again.
+     */
     completeWaitingCalls(): void;
 }
 
@@ -201,6 +215,7 @@
         const offset = options.clockOffset();
         return {
             isCurrent: options.isCurrent(),
+            waitsForStore: true,
             path: options.path(),
             ...(offset === undefined ? {} : { storeMilliseconds: clock.now() + offset }),
             epochs: epochs(),
@@ -213,6 +228,10 @@
         if (request.waitMilliseconds > 0 && options.isCurrent() && !hasChanges(request)) {
             await waitForChanges(request.waitMilliseconds);
         }
+        const storeWait = request.storeWaitMilliseconds ?? 0;
+        if (storeWait > 0 && !options.isCurrent() && !hasChanges(request)) {
+            await waitForChanges(storeWait);
+        }
         return createResponse(request) as unknown as JsonValue;
     });
 
@@ -235,9 +254,21 @@
         });
 
     return {
-        readFrom: async (address, waitMilliseconds, timeoutMilliseconds, mayStartStale) => {
+        readFrom: async (
+            address,
+            waitMilliseconds,
+            timeoutMilliseconds,
+            mayStartStale,
+            storeWaitMilliseconds = 0,
+        ) => {
             const since = Object.fromEntries(TABLE_NAMES.map(table => [table, replicas[table].revision]));
-            const request = { since, epochs: epochs(), waitMilliseconds, acceptsCompressed: true };
+            const request = {
+                since,
+                epochs: epochs(),
+                waitMilliseconds,
+                ...(storeWaitMilliseconds > 0 ? { storeWaitMilliseconds } : {}),
+                acceptsCompressed: true,
+            };
             const response = (await peers.call(
                 address,
                 METHOD,
@@ -248,6 +279,7 @@
             const own = epochs();
             return {
                 isCurrent: response.isCurrent,
+                waitsForStore: response.waitsForStore === true,
                 isBehind: TABLE_NAMES.some(table => (response.epochs?.[table] ?? -1) < own[table]),
                 path: response.path,
                 clockOffset: storeMilliseconds === undefined ? undefined : storeMilliseconds - clock.now(),
--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -8,11 +8,14 @@
  */
 import { delay } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
+import type { Random } from "../common/random.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
 import { createFeedMonitor } from "./feed-monitor.js";
 import type { FeedCheck } from "./feed-monitor.js";
 import type { RelayCandidate } from "./relay-choice.js";
+import { retryPause } from "./retry-pause.js";
+import type { RelayReach } from "./retry-pause.js";
 import type { PeerResponse, RowExchange } from "./row-exchange.js";
 import type { ChangeSet, RowReplica } from "./row-replica.js";
 import { TABLE_NAMES } from "./shared-store.js";
@@ -41,11 +44,10 @@
 const MONITOR_INTERVAL_MILLISECONDS = 50;
 
 /** Interval between checks whether the probe table has been read, milliseconds. */
-const PROBE_POLL_MILLISECONDS = 100;
+const PROBE_POLL_MILLISECONDS = 20;
 
-/** Initial and maximum pause after a failed call, milliseconds. Doubles with each failure. */
-const INITIAL_RETRY_PAUSE_MILLISECONDS = 200;
-const MAXIMUM_RETRY_PAUSE_MILLISECONDS = 800;
+/** Longest step of a pause after a failed call, milliseconds. A pause ends when a relay is lost meanwhile. */
+const PAUSE_STEP_MILLISECONDS = 100;
 
 /**
  * Table that is read first after a failure: the smallest one. The others follow when it succeeds, so that a
@@ -69,9 +71,21 @@
  */
 const DISCONNECTED_RELAY_PAUSE_MILLISECONDS = 1000;
 
-/** Interval between checks for a usable relay while there is none, milliseconds. */
+/**
+ * Maximum time for which a relay that has lost the store holds a call of a node without a relay open, and time
+ * until it is called again, milliseconds. It answers as soon as it has the store again, so its followers have it
+ * at the same time.
+ */
+const STORE_WAIT_MILLISECONDS = 500;
+const STORE_WAIT_PAUSE_MILLISECONDS = 20;
+
+/** Shortest and longest interval between checks for a usable relay while there is none, milliseconds. */
+const MINIMUM_NO_RELAY_PAUSE_MILLISECONDS = 20;
 const NO_RELAY_PAUSE_MILLISECONDS = 500;
 
+/** Time for which a relay counts as reachable after a response, milliseconds. */
+const RELAY_RESPONSE_VALIDITY_MILLISECONDS = 3000;
+
 export interface StoreSync {
     /** Whether neither the store nor a relay is reachable. */
     isDisconnected(): boolean;
@@ -97,6 +111,8 @@
     readonly exchange: Pick<RowExchange, "readFrom" | "completeWaitingCalls">;
     /** Possible relays in order of preference. */
     readonly relays: () => readonly Relay[];
+    readonly nodeCount: () => number;
+    readonly random: Random;
     readonly clock: Clock;
     readonly lifecycle: Lifecycle;
     readonly logger: Logger;
@@ -110,6 +126,8 @@
     const readTables = new Set<TableName>();
     /** Monotonic time until which a relay is not called, by node id. */
     const avoidedUntil = new Map<string, number>();
+    /** Monotonic time of the last response of a relay, by node id. */
+    const relayHeardAt = new Map<string, number>();
     const monitor = createFeedMonitor();
     /** Ends the open feed call of a table, with an error or as if it had brought nothing. */
     const abandonCall = new Map<TableName, (error?: Error) => void>();
@@ -121,6 +139,10 @@
     let disconnectedAt: number | undefined;
     /** Monotonic time until which a node that lost its relay still counts as connected. */
     let graceUntil = -Infinity;
+    /** The relay has lost the store, which may be away for this node as well. */
+    let mustProbe = false;
+    let relayLosses = 0;
+    let wasCurrent = false;
     let stopped = false;
 
     const isInGrace = (): boolean => clock.now() < graceUntil && failedTables.size === 0;
@@ -171,6 +193,14 @@
     const feedWait = (table: TableName): number =>
         timing.isMonitored ? monitor.beginCall(table, clock.now()) : FEED_WAIT_MILLISECONDS[table];
 
+    /** Peers whose calls wait learn at once that this node has the store again. */
+    const completeCallsWhenCurrent = (): void => {
+        if (isCurrent() && !wasCurrent) {
+            exchange.completeWaitingCalls();
+        }
+        wasCurrent = isCurrent();
+    };
+
     const readOnce = async (table: TableName): Promise<void> => {
         const replica = replicas[table];
         // The first call after an interruption does not wait, so that the reconnection is detected early.
@@ -228,19 +258,55 @@
         }
     };
 
+    const isProbePending = (): boolean => failedTables.has(PROBE_TABLE) || mustProbe;
+
     /** Waits until the store has answered a call for the probe table, or a relay is followed. */
     const waitForProbe = async (table: TableName): Promise<void> => {
-        while (table !== PROBE_TABLE && failedTables.has(PROBE_TABLE) && relay === undefined && !stopped) {
+        while (table !== PROBE_TABLE && isProbePending() && relay === undefined && !stopped) {
             await delay(PROBE_POLL_MILLISECONDS);
         }
     };
 
+    const relayReach = (): RelayReach => {
+        const reachable = options
+            .relays()
+            .filter(
+                ({ id }) =>
+                    clock.now() - (relayHeardAt.get(id) ?? -Infinity) < RELAY_RESPONSE_VALIDITY_MILLISECONDS,
+            );
+        if (reachable.length === 0) {
+            return "none";
+        }
+        return reachable.some(({ dataCentre }) => dataCentre === options.dataCentre)
+            ? "dataCentre"
+            : "region";
+    };
+
+    /** Waits for a time, or until a relay is lost, after which the store is read at once. */
+    const pauseReading = async (milliseconds: number): Promise<void> => {
+        const until = clock.now() + milliseconds;
+        const losses = relayLosses;
+        while (clock.now() < until && losses === relayLosses && !stopped) {
+            await delay(Math.min(PAUSE_STEP_MILLISECONDS, until - clock.now()));
+        }
+    };
+
     const readStore = async (table: TableName): Promise<void> => {
-        let pause = INITIAL_RETRY_PAUSE_MILLISECONDS;
+        let failures = 0;
+        let losses = relayLosses;
         while (!stopped) {
             if (relay !== undefined) {
                 await waitForRelayLoss();
-                pause = INITIAL_RETRY_PAUSE_MILLISECONDS;
+            }
+            if (losses !== relayLosses) {
+                losses = relayLosses;
+                failures = 0;
+                if (mustProbe && options.relays().length > 1) {
+                    await delay(timing.storeFallbackMilliseconds);
+                }
+            }
+            await waitForProbe(table);
+            if (relay !== undefined || stopped) {
                 continue;
             }
             try {
@@ -250,8 +316,12 @@
                 }
                 readTables.add(table);
                 failedTables.delete(table);
+                if (table === PROBE_TABLE) {
+                    mustProbe = false;
+                }
                 updateConnection({ table, revision: replicas[table].revision });
-                pause = INITIAL_RETRY_PAUSE_MILLISECONDS;
+                completeCallsWhenCurrent();
+                failures = 0;
                 await delay(timing.feedPauseMilliseconds[table]);
             }
             catch (error) {
@@ -262,10 +332,13 @@
                     continue;
                 }
                 failedTables.add(table);
+                wasCurrent = false;
                 updateConnection({ table, error: (error as Error).message });
-                await delay(pause);
-                await waitForProbe(table);
-                pause = Math.min(MAXIMUM_RETRY_PAUSE_MILLISECONDS, pause * 2);
+                failures += 1;
+                const nodeCount = options.nodeCount();
+                await pauseReading(
+                    retryPause({ failures, relayReach: relayReach(), nodeCount }, options.random),
+                );
             }
         }
     };
@@ -277,11 +350,14 @@
         relay = candidate;
         readTables.clear();
         failedTables.clear();
+        mustProbe = false;
         updateConnection({ relay: candidate.id });
+        completeCallsWhenCurrent();
     };
 
     const endGrace = (): void => {
         graceUntil = -Infinity;
+        wasCurrent = isCurrent();
         if (!stopped && !isCurrent()) {
             exchange.completeWaitingCalls();
         }
@@ -290,6 +366,8 @@
     const removeRelay = (previous: Relay, reason: string, grace: number): void => {
         logger.warn("Lost the node that was followed.", { relay: previous.id, reason });
         relay = undefined;
+        relayLosses += 1;
+        wasCurrent = grace > 0;
         if (grace > 0) {
             graceUntil = clock.now() + grace;
             setTimeout(endGrace, grace);
@@ -332,25 +410,40 @@
         return path.includes(options.node) ? "it follows this node" : undefined;
     };
 
+    /** Whether the node that is followed is to be kept although the candidate is usable. */
+    const isFollowedBefore = (candidate: Relay): boolean => {
+        const order = options.relays().map(({ id }) => id);
+        return relay !== undefined && order.indexOf(relay.id) < order.indexOf(candidate.id);
+    };
+
     /** Reads changes from a node, and uses it as the relay when it is connected to the store. */
     const pollRelay = async (candidate: Relay): Promise<void> => {
+        const isFollowed = relay?.id === candidate.id;
         try {
-            const wait = relay?.id === candidate.id ? RELAY_WAIT_MILLISECONDS : 0;
             const response = await exchange.readFrom(
                 candidate.peerAddress,
-                wait,
+                isFollowed ? RELAY_WAIT_MILLISECONDS : 0,
                 RELAY_TIMEOUT_MILLISECONDS,
                 false,
+                relay === undefined ? STORE_WAIT_MILLISECONDS : 0,
             );
+            relayHeardAt.set(candidate.id, clock.now());
             const reason = unusableReason(candidate, response);
+            if (reason === undefined && isFollowedBefore(candidate)) {
+                return;
+            }
             if (reason === undefined) {
                 relayClockOffset = response.clockOffset;
                 relayPath = response.path!;
                 follow(candidate);
+                return;
             }
-            else {
-                recordRelayFailure(candidate, reason, DISCONNECTED_RELAY_PAUSE_MILLISECONDS, 0);
-            }
+            mustProbe ||= isFollowed && !response.isCurrent;
+            const pause =
+                !response.isCurrent && response.waitsForStore && (relay === undefined || isFollowed)
+                    ? STORE_WAIT_PAUSE_MILLISECONDS
+                    : DISCONNECTED_RELAY_PAUSE_MILLISECONDS;
+            recordRelayFailure(candidate, reason, pause, 0);
         }
         catch (error) {
             recordRelayFailure(
@@ -362,14 +455,40 @@
         }
     };
 
+    /** Calls to relays while this node has lost the store, by node id. */
+    const openPolls = new Map<string, Promise<void>>();
+
+    /** Time until a relay may be called again. */
+    const noRelayPause = (relays: readonly Relay[]): number => {
+        const pauses = relays
+            .filter(({ id }) => !openPolls.has(id))
+            .map(({ id }) => (avoidedUntil.get(id) ?? 0) - clock.now());
+        return Math.max(
+            MINIMUM_NO_RELAY_PAUSE_MILLISECONDS,
+            Math.min(NO_RELAY_PAUSE_MILLISECONDS, ...pauses),
+        );
+    };
+
     const followRelays = async (): Promise<void> => {
         while (!stopped) {
             const relays = options.relays();
             if (relay !== undefined && !relays.some(({ id }) => id === relay!.id)) {
                 removeRelay(relay, "it is no longer a possible relay", timing.relayLossGraceMilliseconds);
             }
-            const candidate = relays.find(({ id }) => (avoidedUntil.get(id) ?? 0) <= clock.now());
-            await (candidate === undefined ? delay(NO_RELAY_PAUSE_MILLISECONDS) : pollRelay(candidate));
+            const candidates = relays.filter(
+                ({ id }) => !openPolls.has(id) && (avoidedUntil.get(id) ?? 0) <= clock.now(),
+            );
+            const [first] = candidates;
+            if (relay !== undefined || isCurrent()) {
+                await (first === undefined ? delay(noRelayPause(relays)) : pollRelay(first));
+                continue;
+            }
+            // Whichever has the store first is followed.
+            candidates.forEach(candidate => {
+                const poll = pollRelay(candidate).finally(() => openPolls.delete(candidate.id));
+                openPolls.set(candidate.id, poll);
+            });
+            await Promise.race([...openPolls.values(), delay(noRelayPause(relays))]);
         }
     };
 
--- a/src/node/replica/store-timing.ts
+++ b/src/node/replica/store-timing.ts
@@ -16,6 +16,11 @@
      * makes its first calls to the store, milliseconds. Without it, all followers would read the store as well.
      */
     readonly relayLossGraceMilliseconds: number;
+    /**
+     * Time for which a node whose relay has lost the store waits for another relay before it calls the store,
+     * milliseconds. Not used by the first two nodes of a data centre.
+     */
+    readonly storeFallbackMilliseconds: number;
     /** Whether a feed monitor chooses the waits of the feed calls and checks the feeds meanwhile. */
     readonly isMonitored: boolean;
     /** Pause between feed calls of a table, milliseconds. Batches changes in quick succession. */
@@ -28,6 +33,7 @@
 const SHORT_BOUND_TIMING: StoreTiming = {
     isRegional: false,
     relayLossGraceMilliseconds: 0,
+    storeFallbackMilliseconds: 0,
     isMonitored: false,
     feedPauseMilliseconds: { configuration: 100, runners: 100, nodes: 100 },
 };
@@ -40,6 +46,7 @@
 const LONG_BOUND_TIMING: StoreTiming = {
     isRegional: true,
     relayLossGraceMilliseconds: 200,
+    storeFallbackMilliseconds: 100,
     isMonitored: true,
     feedPauseMilliseconds: { configuration: 400, runners: 700, nodes: 500 },
 };
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -143,6 +143,8 @@
         replicas,
         exchange,
         relays: () => relaysOf(nodes.self, nodes.entries(), storeTiming.isRegional),
+        nodeCount: () => nodes.count(),
+        random,
         clock,
         lifecycle,
         logger: createLogger("store"),
