Leave scarce slots to more urgent requests that wait at other nodes

Cause: each node orders only its own waiting requests, so a less urgent request at one node could take a slot while a more urgent one waited at another.

Change: load reports carry the number of waiting requests by service and urgency, as an optional part, while there are any. A request waits when the free slots are no more than the more urgent requests elsewhere.

--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -315,6 +315,35 @@
     const brittle = createBrittleServices();
     const upstreamsLog = createLogger("upstreams");
     const slotShares = createSlotShares(sharing);
+    const upstreamsOf: RequestForwarderOptions["upstreamsOf"] = service => {
+        const rule = shifts.rule(service);
+        return upstreams
+            .usable(service)
+            .filter(({ entry }) => !operators.isEvacuated(entry.dataCentre) && rule.isAllowed(entry.version));
+    };
+    const scarcity =
+        config.scarcity.enabled === true
+            ? createScarcity({
+                  clock,
+                  random,
+                  loads,
+                  upstreamsOf,
+                  nodeCount: () => nodes.count(),
+                  reportAgeMilliseconds: () => medianReportAge(nodes.ids(), loads, clock.now()),
+                  onSuspected: ({ entry }) => {
+                      upstreamsLog.info("An upstream did not answer; requests avoid it for a while.", {
+                          upstream: entry.id,
+                          service: entry.service,
+                      });
+                      loadReports.sendSoon();
+                  },
+                  countDecision: (service, decision) =>
+                      metrics.count("scarcity_decisions_total", { service, decision }),
+                  observeWait: (service, milliseconds) =>
+                      metrics.observe("scarcity_wait_milliseconds", milliseconds, { service }),
+              })
+            : undefined;
+
     const loadReports = createLoadReports({
         node: config.node.id,
         ...splitEndpoint(config.loads.listen),
@@ -337,6 +366,7 @@
         quarantine,
         limits,
         brittle,
+        waiting: scarcity,
         clock,
         random,
         lifecycle,
@@ -350,35 +380,6 @@
         }
     };
 
-    const upstreamsOf: RequestForwarderOptions["upstreamsOf"] = service => {
-        const rule = shifts.rule(service);
-        return upstreams
-            .usable(service)
-            .filter(({ entry }) => !operators.isEvacuated(entry.dataCentre) && rule.isAllowed(entry.version));
-    };
-    const scarcity =
-        config.scarcity.enabled === true
-            ? createScarcity({
-                  clock,
-                  random,
-                  loads,
-                  upstreamsOf,
-                  nodeCount: () => nodes.count(),
-                  reportAgeMilliseconds: () => medianReportAge(nodes.ids(), loads, clock.now()),
-                  onSuspected: ({ entry }) => {
-                      upstreamsLog.info("An upstream did not answer; requests avoid it for a while.", {
-                          upstream: entry.id,
-                          service: entry.service,
-                      });
-                      loadReports.sendSoon();
-                  },
-                  countDecision: (service, decision) =>
-                      metrics.count("scarcity_decisions_total", { service, decision }),
-                  observeWait: (service, milliseconds) =>
-                      metrics.observe("scarcity_wait_milliseconds", milliseconds, { service }),
-              })
-            : undefined;
-
     const forwarderOptions: RequestForwarderOptions = {
         loads,
         clock,
--- a/src/node/scarcity/__tests__/admission.spec.ts
+++ b/src/node/scarcity/__tests__/admission.spec.ts
@@ -41,6 +41,7 @@
         ownRequests: 1,
         waiting: 0,
         waitingAhead: 0,
+        moreUrgentElsewhere: 0,
         ...overrides,
     };
 }
@@ -88,6 +89,12 @@
     assert.equal(decide([full], MODEL, { ...overrides, waitingAhead: 3 }).kind, "wait");
 });
 
+test("a request leaves the last free slots to more urgent ones that wait at other nodes", () => {
+    const upstream = createUpstream({ slots: 64, requests: 61 });
+    assert.equal(decide([upstream], MODEL, { moreUrgentElsewhere: 2 }).kind, "send");
+    assert.equal(decide([upstream], MODEL, { moreUrgentElsewhere: 3 }).kind, "wait");
+});
+
 test("only an attempt shows whether upstreams that failed are back", () => {
     assert.equal(decide([createUpstream({ state: "down" })], PLAIN).kind, "send");
     assert.equal(decide([], PLAIN).kind, "send");
--- a/src/node/scarcity/__tests__/scarcity.spec.ts
+++ b/src/node/scarcity/__tests__/scarcity.spec.ts
@@ -279,3 +279,21 @@
     await fixture.pass(100);
     assert.deepEqual(admission.outcome(), { kind: "admitted", hasWaited: true });
 });
+
+test("a slot is left to a more urgent request that waits at another node, until that no longer reports", async context => {
+    const fixture = createFixture(context);
+    fill(fixture, "e0", 3);
+    fixture.scarcity.mergeWaiting("n2", [["engines", 0, 0, 1]], Date.now());
+    const urgent = fixture.admit({ route: { priority: 0 } });
+    await fixture.pass(5);
+    assert.equal(urgent.outcome()?.kind, "admitted", "equally urgent");
+    const later = fixture.admit({ route: { priority: 2 } });
+    await fixture.pass(500);
+    assert.equal(later.outcome(), undefined);
+    assert.deepEqual(fixture.scarcity.reportWaiting(), [["engines", 2, 2, 1]]);
+    fixture.scarcity.mergeWaiting("n2", [], Date.now());
+    fixture.loads.begin("e0", 0, 0);
+    await fixture.pass(100);
+    assert.equal(later.outcome(), undefined, "the slots are taken");
+    assert.equal(fixture.scarcity.waitingRequests(), 1);
+});
--- a/src/node/scarcity/admission.ts
+++ b/src/node/scarcity/admission.ts
@@ -51,6 +51,8 @@
     readonly waiting: number;
     /** Those of them that get capacity before this one. */
     readonly waitingAhead: number;
+    /** More urgent requests of the service that wait at other nodes. */
+    readonly moreUrgentElsewhere: number;
 }
 
 export type Admission =
@@ -151,15 +153,31 @@
     return ((context.waitingAhead + 1) * context.residenceMilliseconds) / Math.max(1, context.ownRequests);
 }
 
+/**
+ * Whether the free slots are no more than the more urgent requests that wait at other nodes. While much is free,
+ * these wait for something else, such as an upstream of their version.
+ */
+export function yieldsToOthers({
+    upstreams,
+    moreUrgentElsewhere,
+}: Pick<AdmissionContext, "upstreams" | "moreUrgentElsewhere">): boolean {
+    return (
+        moreUrgentElsewhere > 0 &&
+        countFreeSlots(upstreams) <= moreUrgentElsewhere &&
+        !isMostlyIdle(upstreams)
+    );
+}
+
 export function admit(context: AdmissionContext, needs: RequestNeeds): Admission {
     const { upstreams, residenceMilliseconds, waitingAhead } = context;
     const isDown = upstreams.every(({ state }) => state === "down");
+    const isNext = waitingAhead === 0 && !yieldsToOthers(context);
     // Only an attempt can tell whether upstreams that failed are back.
-    if (isDown || (context.hasFreeUpstream && waitingAhead === 0)) {
+    if (isDown || (context.hasFreeUpstream && isNext)) {
         return { kind: "send" };
     }
     const limit = waitLimit(needs, residenceMilliseconds);
-    if (!needs.isModel && context.hasUpstream && waitingAhead === 0) {
+    if (!needs.isModel && context.hasUpstream && isNext) {
         const queue = Math.min(
             ...upstreams
                 .filter(({ state }) => state === "usable")
--- a/src/node/scarcity/scarcity.ts
+++ b/src/node/scarcity/scarcity.ts
@@ -19,6 +19,7 @@
     isFree,
     queueMilliseconds,
     retryAfterSeconds,
+    yieldsToOthers,
 } from "./admission.js";
 import type { AdmissionContext, RequestNeeds, UpstreamCapacity } from "./admission.js";
 import { restrictChoice } from "./restricted-choice.js";
@@ -27,6 +28,8 @@
 import type { ServiceLoad } from "./service-load.js";
 import { createSuspectUpstreams, LONGEST_SUSPICION_MILLISECONDS } from "./suspect-upstreams.js";
 import { enginePriorityOf, urgencyOf } from "./urgency.js";
+import { createWaitingElsewhere } from "./waiting-elsewhere.js";
+import type { WireWaiting } from "./waiting-elsewhere.js";
 import { createWaitingRequests } from "./waiting-requests.js";
 import type { WaitingRequest, WaitingRequests } from "./waiting-requests.js";
 
@@ -84,6 +87,9 @@
     connectMilliseconds(route: Route, service: Service): number | undefined;
     /** Ids of the upstreams that other nodes should avoid as this one does. */
     suspects(): readonly string[];
+    /** Requests that wait at this node, for the other nodes; `undefined` when there are none. */
+    reportWaiting(): readonly WireWaiting[] | undefined;
+    mergeWaiting(node: string, waiting: readonly WireWaiting[], now: number): void;
     /** Requests that wait at this node. */
     waitingRequests(): number;
     waitingBytes(): number;
@@ -152,6 +158,9 @@
 /** Random part of `Retry-After`, so that rejected requests do not return together. */
 const RETRY_SPREAD = 0.25;
 
+/** Counts of waiting requests in a load report, of about 30 bytes each. */
+const MAXIMUM_REPORTED_COUNTS = 32;
+
 const HTTP_MISDIRECTED = 421;
 
 const MAXIMUM_SERVICES = 1024;
@@ -163,6 +172,7 @@
     const { clock, random } = options;
     const services = createBoundedMap<ServiceState>(MAXIMUM_SERVICES);
     const suspects = createSuspectUpstreams();
+    const elsewhere = createWaitingElsewhere();
     let timer: NodeJS.Timeout | undefined;
     let suspectedAt = -Infinity;
     let totals = { at: -Infinity, revision: -1, byUpstream: new Map<string, Load>() };
@@ -315,9 +325,18 @@
                 ownRequests: state.load.ownRequests,
                 waiting: state.waiting.size,
                 waitingAhead: state.waiting.countAhead(urgency, workspace),
+                moreUrgentElsewhere: elsewhere.countMoreUrgent(state.name, urgency, clock.now()),
             };
         };
 
+        const yieldsNow = (): boolean => {
+            const moreUrgentElsewhere = elsewhere.countMoreUrgent(state.name, urgency, clock.now());
+            return (
+                moreUrgentElsewhere > 0 &&
+                yieldsToOthers({ upstreams: capacitiesOf(state, runsOnce), moreUrgentElsewhere })
+            );
+        };
+
         const describe = (context: AdmissionContext) => ({
             priority: enginePriorityOf(urgency),
             upstreams: context.upstreams.length,
@@ -326,6 +345,7 @@
             ownRequests: context.ownRequests,
             waiting: context.waiting,
             waitingAhead: context.waitingAhead,
+            moreUrgentElsewhere: context.moreUrgentElsewhere,
             residenceMilliseconds: Math.round(context.residenceMilliseconds),
             remainingMilliseconds: Math.round(deadline - clock.now()),
             reportAgeMilliseconds: options.reportAgeMilliseconds(),
@@ -374,7 +394,8 @@
                     targetAt,
                     expiresAt: since + milliseconds,
                     bytes: request.body.length + REQUEST_BYTES,
-                    canBegin: () => choose(state.isModel ? hasFreeSlot : isUsable) !== undefined,
+                    canBegin: () =>
+                        !yieldsNow() && choose(state.isModel ? hasFreeSlot : isUsable) !== undefined,
                     settle,
                 };
                 const leave = (): void => {
@@ -399,7 +420,8 @@
             },
             choose: choose => chooseAmong(choose, hasFreeSlot) ?? chooseAmong(choose, isUsable) ?? choose(),
             admit: async (choose, onWait) => {
-                const choice = state.waiting.size === 0 ? chooseAmong(choose, hasFreeSlot) : undefined;
+                const isNext = state.waiting.size === 0 && !yieldsNow();
+                const choice = isNext ? chooseAmong(choose, hasFreeSlot) : undefined;
                 if (choice !== undefined) {
                     return { kind: "admitted", hasWaited: false, choice };
                 }
@@ -514,6 +536,20 @@
                         : [];
                 });
         },
+        reportWaiting: () => {
+            if (timer === undefined) {
+                return undefined;
+            }
+            const reported = states()
+                .flatMap(({ name, waiting }) =>
+                    waiting
+                        .counts()
+                        .map(([{ workspace, route }, count]) => [name, workspace, route, count] as const),
+                )
+                .slice(0, MAXIMUM_REPORTED_COUNTS);
+            return reported.length === 0 ? undefined : reported;
+        },
+        mergeWaiting: (...reported) => elsewhere.merge(...reported),
         waitingRequests,
         waitingBytes,
     };
--- a/src/node/scarcity/waiting-requests.ts
+++ b/src/node/scarcity/waiting-requests.ts
@@ -31,6 +31,8 @@
     takeExpired(now: number): readonly Request[];
     /** Number of requests that get capacity before a new one. */
     countAhead(urgency: Urgency, workspace: string): number;
+    /** Number of requests by urgency, the most urgent first. */
+    counts(): readonly (readonly [Urgency, number])[];
 }
 
 /** Requests that are asked in vain whether they can begin, in one call. Each asks for a choice of an upstream. */
@@ -149,5 +151,13 @@
             }
             return ahead;
         },
+        counts: () => {
+            const counts = new Map<string, [Urgency, number]>();
+            for (const request of requests) {
+                const known = counts.get(urgencyKey(request));
+                counts.set(urgencyKey(request), [request.urgency, (known?.[1] ?? 0) + 1]);
+            }
+            return [...counts.values()].sort(([first], [second]) => compareUrgency(first, second));
+        },
     };
 }
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -7,6 +7,8 @@
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Logger } from "../logging/logging.js";
 import type { Quarantine, QuarantineReport } from "../quarantine/quarantine.js";
+import type { Scarcity } from "../scarcity/scarcity.js";
+import type { WireWaiting } from "../scarcity/waiting-elsewhere.js";
 import type { BrittleServices, WireBrittleService } from "./brittle-services.js";
 import type { UpstreamLimits, WireLimit } from "./upstream-limits.js";
 import type { Load, LoadBoard } from "./load-board.js";
@@ -62,6 +64,7 @@
     limits: z.optional(z.array(z.tuple([z.string(), z.number(), wireAge]))),
     brittle: z.optional(z.array(z.tuple([z.string(), wireAge]))),
     isolated: z.optional(z.boolean()),
+    waiting: z.optional(z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]))),
 });
 
 function isLoad(entry: unknown): boolean {
@@ -106,6 +109,8 @@
     readonly brittle?: readonly WireBrittleService[];
     /** The node has no path to the upstreams. */
     readonly isolated?: boolean;
+    /** Requests that wait for capacity at the node. */
+    readonly waiting?: readonly WireWaiting[];
 }
 
 export interface LoadReports {
@@ -129,6 +134,8 @@
     /** Whether this node has no path to the upstreams. */
     readonly isIsolated: () => boolean;
     readonly peerStates: Pick<PeerStates, "record">;
+    /** Requests that wait for capacity, which the reports carry where it is scarce. */
+    readonly waiting?: Pick<Scarcity, "reportWaiting" | "mergeWaiting">;
     /** IP addresses of the nodes that get reports; all listen on the same port. */
     readonly peers: () => readonly string[];
     readonly clock: Clock;
@@ -199,6 +206,7 @@
             if (news?.brittle !== undefined) {
                 options.brittle.merge(news.brittle, now);
             }
+            options.waiting?.mergeWaiting(node, news?.waiting ?? [], now);
         }
         catch (error) {
             logger.warn("Discarded a datagram that is not a load report.", {
@@ -219,7 +227,8 @@
         const limits = options.limits.report(now);
         const brittle = options.brittle.report(now);
         const isolated = options.isIsolated() ? true : undefined;
-        const allNews: WireNews = { quarantine, limits, brittle, isolated };
+        const waiting = options.waiting?.reportWaiting();
+        const allNews: WireNews = { quarantine, limits, brittle, isolated, waiting };
         const hasNews = Object.values(allNews).some(part => part !== undefined);
         const news = hasNews ? allNews : undefined;
         const hasContent = board.ownLoads().size > 0 || ejected.length > 0;
