Begin a request whose wait ends while a slot is free

Cause: with one engine of one slot and three nodes, a request was rejected at the end of its wait just after the slot had become free: of the slots that others leave, a node takes only its share.

Change: at the end of its wait, a request begins if a slot is free by then. The test compares a rejection with the occupied slots within the age of the node's view.

--- a/src/node/scarcity/scarcity.ts
+++ b/src/node/scarcity/scarcity.ts
@@ -277,7 +277,10 @@
         const now = clock.now();
         for (const state of states()) {
             if (state.waiting.size > 0) {
-                state.waiting.takeExpired(now).forEach(({ settle }) => settle("expired"));
+                // A slot may have become free that this node left to others.
+                for (const { canBegin, settle } of state.waiting.takeExpired(now)) {
+                    settle(canBegin() ? "admitted" : "expired");
+                }
                 beginWaiting(state, countBegins(state) + state.credits);
                 state.credits = 0;
             }
