Learn the speed of each upstream from requests

Cause: the expected delay assumed 45 prompt tokens per millisecond and 6 ms for each request in flight at every upstream, while the engines differ by 0.7 to 1.7.

What a process lacks comes from the median of its service; with nothing learnt the choice is as before. The load of a request counts only the prompt tokens that its upstream is expected to read.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -291,6 +291,10 @@
             bodyBytes: request.body.length,
             expectedEvents: route.kind === "stream" ? expectedOutputTokens(head) : 0,
             affinityKey: affinityKeyOf(head, model),
+            isEngine: service.engineTokens !== undefined,
+            model,
+            promptTokens: head.promptTokens * relativeCost(service, model),
+            sharedTokens: sharedTokens(head) * relativeCost(service, model),
         });
 
         const nextChoice = (): Choice | undefined =>
@@ -362,7 +366,8 @@
             const sentAt = clock.now();
             const eventsBefore = sink.eventCount();
             const stratum = `${route.name}\u0000${usedModel ?? ""}`;
-            const requestsInFlight = options.loads.total(upstream.entry.id, sentAt).requests;
+            const loadBefore = options.loads.total(upstream.entry.id, sentAt);
+            const requestsInFlight = loadBefore.requests;
             const group = evidenceGroupOf(stratum, requestsInFlight, upstream.entry.slots, choice.isTest);
             let headMilliseconds: number | undefined;
             let headConfidence: number | undefined;
@@ -370,12 +375,12 @@
             let isUnframed = false;
             const answerProgress = createAnswerProgress();
             countRequest();
+            const placed = options.placement?.begin(placedRequest(), choice, loadBefore, sentAt);
             const load = options.loads.begin(
                 upstream.entry.id,
-                head.promptTokens * relativeCost(service, usedModel),
+                placed?.pendingTokens ?? head.promptTokens * relativeCost(service, usedModel),
                 head.promptTokens + expectedOutputTokens(head),
             );
-            const placed = options.placement?.begin(placedRequest(), choice, sentAt);
             options.recordSend(session, upstream);
             recordSend(upstream, sentAt);
             options.limits.consume(process, sentAt);
@@ -485,11 +490,13 @@
                         options.limits.record(process, limitPerSecond, sentAt, clock.now());
                     }
                     headMilliseconds = clock.now() - sentAt;
+                    if (isSuccess(status)) {
+                        placed?.recordAnswer(clock.now());
+                    }
                 },
             });
             endWatch();
             load.end();
-            placed?.end();
             const endedAt = clock.now();
             const events = sink.eventCount() - eventsBefore;
             if (result.kind === "delivered") {
@@ -524,6 +531,7 @@
                         ? undefined
                         : (endedAt - sentAt - headMilliseconds) / events,
             };
+            placed?.end(timing.paceMilliseconds, endedAt);
             const outcome = answerOutcomeOf(result);
             // A retry is not independent of the attempt before: the request itself may fail everywhere.
             if (outcome !== undefined && executions === 0) {
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -43,6 +43,7 @@
 import { createRequestPlacement } from "../upstream-table/request-placement.js";
 import { createSpillover } from "../upstream-table/spillover.js";
 import { createUpstreamLimits } from "../upstream-table/upstream-limits.js";
+import { createUpstreamSpeeds } from "../upstream-table/upstream-speeds.js";
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
 import { createSessionVersions } from "../shifts/session-versions.js";
 import { createShiftCoordinator } from "../shifts/shift-coordinator.js";
@@ -316,6 +317,7 @@
     const brittle = createBrittleServices();
     const upstreamsLog = createLogger("upstreams");
     const slotShares = createSlotShares(sharing);
+    const speeds = config.placement.learnSpeeds === true ? createUpstreamSpeeds() : undefined;
     const loadReports = createLoadReports({
         node: config.node.id,
         ...splitEndpoint(config.loads.listen),
@@ -335,6 +337,7 @@
         quarantine,
         limits,
         brittle,
+        ...(speeds === undefined ? {} : { speeds }),
         clock,
         random,
         lifecycle,
@@ -349,9 +352,11 @@
     };
 
     const placement =
-        config.placement.preferOwnDataCentre === true
+        config.placement.preferOwnDataCentre === true || speeds !== undefined
             ? createRequestPlacement({
                   dataCentre: config.node.dataCentre,
+                  prefersOwn: config.placement.preferOwnDataCentre === true,
+                  speeds,
                   prices: config.placement,
                   nodes: () => nodes.entries(),
                   prefixUses: createPrefixUses(),
--- a/src/node/upstream-table/__tests__/request-placement.spec.ts
+++ b/src/node/upstream-table/__tests__/request-placement.spec.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { UpstreamHandlers, UpstreamRequest } from "../../upstreams/send.js";
+import { NO_LOAD } from "../load-board.js";
 import { DEFAULT_PRICES } from "../leaving-cost.js";
 import { createPrefixUses } from "../prefix-uses.js";
 import { createRequestPlacement, prefixUpstreams } from "../request-placement.js";
@@ -20,6 +21,10 @@
     bodyBytes: 12_000,
     expectedEvents: 100,
     affinityKey: "p",
+    isEngine: true,
+    model: "small",
+    promptTokens: 6000,
+    sharedTokens: 5000,
 };
 
 function createFixture() {
@@ -31,6 +36,8 @@
     const handlers: UpstreamHandlers[] = [];
     const placement = createRequestPlacement({
         dataCentre: "patio",
+        prefersOwn: true,
+        speeds: undefined,
         prices: DEFAULT_PRICES,
         nodes: () => nodes,
         prefixUses: createPrefixUses(),
@@ -50,7 +57,7 @@
     const upstreams = [createTestUpstream("a")];
     const choose = () => chooseUpstream(upstreams, createContext(placement.inputs(REQUEST, 0)))!;
     for (let sent = 0; sent < 40; sent++) {
-        placement.begin(REQUEST, choose(), 0);
+        placement.begin(REQUEST, choose(), NO_LOAD, 0);
     }
     const { prefix } = placement.inputs(REQUEST, 0).dataCentres!;
     assert.deepEqual([prefix.ownRequests, prefix.allRequests], [80, 200]);
@@ -65,7 +72,7 @@
     const send = (dataCentre: string): void => {
         const upstreams = [createTestUpstream("a", { dataCentre })];
         const choice = chooseUpstream(upstreams, createContext(placement.inputs(REQUEST, 0)))!;
-        const placed = placement.begin(REQUEST, choice, 0);
+        const placed = placement.begin(REQUEST, choice, NO_LOAD, 0);
         assert.equal(placed.fields["left"], dataCentre !== "patio");
         const nothing = (): void => undefined;
         placed.send({ body: "x".repeat(700) } as UpstreamRequest, {
--- a/src/node/upstream-table/expected-delay.ts
+++ b/src/node/upstream-table/expected-delay.ts
@@ -1,14 +1,9 @@
 /** Expected delay of a request at an upstream, in terms that can be logged. Pure functions. */
+import { workAtFixedSpeed } from "./expected-work.js";
 import type { Load } from "./load-board.js";
 import type { ChoiceContext } from "./upstream-choice.js";
 import type { RegisteredUpstream } from "./upstream-table.js";
 
-/** Prompt tokens of the largest model that an upstream processes per millisecond. */
-const TOKENS_PER_MILLISECOND = 45;
-
-/** Delay that one request in flight adds to another, milliseconds. */
-const REQUEST_DELAY_MILLISECONDS = 6;
-
 /** Penalty when all recent requests failed, milliseconds; scaled by the failure share. */
 const FAILURE_PENALTY_MILLISECONDS = 3000;
 
@@ -67,11 +62,6 @@
     );
 }
 
-/** Work at the same speed of all upstreams, milliseconds. */
-function workAtFixedSpeed(load: Load, unreadTokens: number): number {
-    return unreadTokens / TOKENS_PER_MILLISECOND + load.requests * REQUEST_DELAY_MILLISECONDS;
-}
-
 /** @param ownTokens Prompt tokens of the request's shared prefix that the upstream must process. */
 export function delayTerms(
     upstream: RegisteredUpstream,
@@ -81,6 +71,7 @@
     const load = context.loadOf(upstream);
     return {
         work:
+            context.workOf?.(upstream, load, ownTokens) ??
             workAtFixedSpeed(load, load.pendingTokens + ownTokens) * Math.max(1, upstream.health.slowness()),
         penalty:
             FAILURE_PENALTY_MILLISECONDS * upstream.health.failureShare() +
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -9,6 +9,7 @@
 import type { Quarantine, QuarantineReport } from "../quarantine/quarantine.js";
 import type { BrittleServices, WireBrittleService } from "./brittle-services.js";
 import type { UpstreamLimits, WireLimit } from "./upstream-limits.js";
+import type { UpstreamSpeeds, WireSpeed } from "./upstream-speeds.js";
 import type { Load, LoadBoard } from "./load-board.js";
 
 /**
@@ -49,6 +50,9 @@
 /** Milliseconds since an observation. */
 const wireAge = z.number().check(z.gte(-MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS));
 
+/** Logarithm of a speed, and the number of requests behind it. */
+const wireAverage = z.tuple([z.number(), z.number()]);
+
 const wireNews = z.object({
     quarantine: z.optional(
         z.object({
@@ -62,6 +66,9 @@
     limits: z.optional(z.array(z.tuple([z.string(), z.number(), wireAge]))),
     brittle: z.optional(z.array(z.tuple([z.string(), wireAge]))),
     isolated: z.optional(z.boolean()),
+    speeds: z.optional(
+        z.array(z.tuple([z.string(), z.string(), z.string(), wireAverage, wireAverage, wireAverage])),
+    ),
 });
 
 function isLoad(entry: unknown): boolean {
@@ -106,6 +113,7 @@
     readonly brittle?: readonly WireBrittleService[];
     /** The node has no path to the upstreams. */
     readonly isolated?: boolean;
+    readonly speeds?: readonly WireSpeed[];
 }
 
 export interface LoadReports {
@@ -126,6 +134,8 @@
     readonly limits: Pick<UpstreamLimits, "report" | "merge">;
     /** Services whose upstreams rejections crash, which the reports carry. */
     readonly brittle: Pick<BrittleServices, "report" | "merge">;
+    /** Speeds of upstreams that were learnt, which the reports carry. @default none */
+    readonly speeds?: Pick<UpstreamSpeeds, "report" | "merge">;
     /** Whether this node has no path to the upstreams. */
     readonly isIsolated: () => boolean;
     readonly peerStates: Pick<PeerStates, "record">;
@@ -196,6 +206,9 @@
             if (news?.limits !== undefined) {
                 options.limits.merge(news.limits, now);
             }
+            if (news?.speeds !== undefined) {
+                options.speeds?.merge(news.speeds, now);
+            }
             if (news?.brittle !== undefined) {
                 options.brittle.merge(news.brittle, now);
             }
@@ -219,7 +232,8 @@
         const limits = options.limits.report(now);
         const brittle = options.brittle.report(now);
         const isolated = options.isIsolated() ? true : undefined;
-        const allNews: WireNews = { quarantine, limits, brittle, isolated };
+        const speeds = options.speeds?.report(now);
+        const allNews: WireNews = { quarantine, limits, brittle, isolated, speeds };
         const hasNews = Object.values(allNews).some(part => part !== undefined);
         const news = hasNews ? allNews : undefined;
         const hasContent = board.ownLoads().size > 0 || ejected.length > 0;
--- a/src/node/upstream-table/request-placement.ts
+++ b/src/node/upstream-table/request-placement.ts
@@ -1,12 +1,16 @@
-/** Joins what the placement of requests across data centres needs: prefixes, the leaving share and the log. */
+/** Joins what the placement of requests needs: data centres, prefixes, the leaving share, speeds and the log. */
 import type { UpstreamSend } from "../upstreams/send.js";
 import type { LogFields } from "../logging/logging.js";
+import { expectedWork } from "./expected-work.js";
 import type { ChoicePlacement, DataCentreView, PrefixDemand } from "./data-centre-choice.js";
 import { crossingBytes } from "./leaving-cost.js";
 import type { PlacementPrices } from "./leaving-cost.js";
 import type { PrefixUses } from "./prefix-uses.js";
+import type { Load } from "./load-board.js";
 import type { Spillover } from "./spillover.js";
 import type { Choice, ChoiceContext } from "./upstream-choice.js";
+import { stepMilliseconds } from "./upstream-speeds.js";
+import type { SpeedMeasure, UpstreamSpeeds } from "./upstream-speeds.js";
 
 /** What of a request decides its placement. */
 export interface PlacedRequest {
@@ -18,6 +22,12 @@
     readonly expectedEvents: number;
     /** Key of the shared prompt prefix; `undefined` when there is none. */
     readonly affinityKey: string | undefined;
+    /** The service has model engines. */
+    readonly isEngine: boolean;
+    readonly model: string | undefined;
+    /** Prompt tokens and those of them that are shared, in tokens of the largest model. */
+    readonly promptTokens: number;
+    readonly sharedTokens: number;
 }
 
 /** An attempt at the upstream that was chosen. */
@@ -25,18 +35,31 @@
     readonly send: UpstreamSend;
     /** Terms of the choice for the log. */
     readonly fields: LogFields;
-    end(): void;
+    /** Prompt tokens that the upstream is expected to process, in tokens of the largest model. */
+    readonly pendingTokens: number;
+    /** Records that a successful answer has begun. */
+    recordAnswer(now: number): void;
+    /** @param paceMilliseconds Average time between events; `undefined` when there were too few. */
+    end(paceMilliseconds: number | undefined, now: number): void;
 }
 
 export interface RequestPlacement {
     /** Inputs of the choice beside those that it always has. */
-    inputs(request: PlacedRequest, now: number): Pick<ChoiceContext, "dataCentres">;
-    /** Records an attempt that is about to be sent. */
-    begin(request: PlacedRequest, choice: Choice, now: number): PlacedAttempt;
+    inputs(request: PlacedRequest, now: number): Pick<ChoiceContext, "dataCentres" | "workOf">;
+    /**
+     * Records an attempt that is about to be sent.
+     *
+     * @param load Load of the upstream without the request.
+     */
+    begin(request: PlacedRequest, choice: Choice, load: Load, now: number): PlacedAttempt;
 }
 
 export interface RequestPlacementOptions {
     readonly dataCentre: string;
+    /** Whether requests should stay in their data centre. */
+    readonly prefersOwn: boolean;
+    /** Speeds that are learnt; `undefined` when all upstreams count as equally fast. */
+    readonly speeds: UpstreamSpeeds | undefined;
     readonly prices: PlacementPrices;
     /** Data centre of each node, this one included. Returns the same array until the list changes. */
     readonly nodes: () => readonly { readonly dataCentre: string }[];
@@ -54,6 +77,15 @@
 
 const MAXIMUM_PREFIX_UPSTREAMS = 3;
 
+/**
+ * Prompt tokens from which the time to the first event tells the prompt speed. With fewer, the round trip and the
+ * first step make most of it.
+ */
+const MINIMUM_MEASURED_TOKENS = 400;
+
+/** Round trip within a data centre and the work around a request, milliseconds. */
+const OVERHEAD_MILLISECONDS = 2;
+
 const NO_PREFIX: PrefixDemand = { ownRequests: 0, allRequests: 0, upstreams: 1 };
 
 /** Number of upstreams of a data centre that serve a prefix with so many requests in flight there. */
@@ -62,11 +94,14 @@
     return Math.max(1, Math.min(MAXIMUM_PREFIX_UPSTREAMS, needed));
 }
 
+function rounded(value: number): number {
+    return Math.round(value * 10) / 10;
+}
+
 function fieldsOf(placement: ChoicePlacement | undefined, share: number): LogFields {
     if (placement === undefined) {
         return {};
     }
-    const rounded = (value: number): number => Math.round(value * 10) / 10;
     return {
         dataCentre: placement.dataCentre,
         left: placement.left,
@@ -107,6 +142,17 @@
         };
     };
 
+    const speedFields = (request: PlacedRequest, process: string, now: number): LogFields => {
+        const speed = options.speeds?.speedOf(request.service, request.model ?? "", process, now);
+        const value = request.isEngine ? speed?.promptTokensPerMillisecond : speed?.workMilliseconds;
+        return speed === undefined || value === undefined
+            ? {}
+            : {
+                  [request.isEngine ? "tokensPerMillisecond" : "workMilliseconds"]: rounded(value),
+                  speedRequests: speed.requests,
+              };
+    };
+
     const spilloverKey = ({ service, route }: PlacedRequest): string => `${service}\u0000${route}`;
 
     const countingSend: UpstreamSend = (request, handlers) => {
@@ -129,29 +175,75 @@
         });
     };
 
+    const viewOf = (request: PlacedRequest, now: number): DataCentreView => ({
+        own: options.dataCentre,
+        targetLatencyMilliseconds: request.targetLatencyMilliseconds,
+        crossingBytes: crossingBytes(request.bodyBytes, request.expectedEvents),
+        prices: options.prices,
+        prefix: prefixDemand(request.affinityKey, now),
+        mayLeave: demand => spillover.mayLeave(spilloverKey(request), demand, now),
+    });
+
+    const workOf =
+        (request: PlacedRequest, now: number, speeds: UpstreamSpeeds): ChoiceContext["workOf"] =>
+        ({ entry, process, health }, load, unreadTokens) =>
+            expectedWork(
+                {
+                    load,
+                    unreadTokens,
+                    ownTokens: request.promptTokens - request.sharedTokens,
+                    slots: entry.slots,
+                    isEngine: request.isEngine,
+                    slowness: health.slowness(),
+                },
+                speeds.speedOf(request.service, request.model ?? "", process, now),
+            );
+
     return {
-        inputs: (request, now) => {
-            const view: DataCentreView = {
-                own: options.dataCentre,
-                targetLatencyMilliseconds: request.targetLatencyMilliseconds,
-                crossingBytes: crossingBytes(request.bodyBytes, request.expectedEvents),
-                prices: options.prices,
-                prefix: prefixDemand(request.affinityKey, now),
-                mayLeave: demand => spillover.mayLeave(spilloverKey(request), demand, now),
-            };
-            return { dataCentres: view };
-        },
-        begin: (request, choice, now) => {
-            const left = choice.upstream.entry.dataCentre !== options.dataCentre;
+        inputs: (request, now) => ({
+            ...(options.prefersOwn ? { dataCentres: viewOf(request, now) } : {}),
+            ...(options.speeds === undefined ? {} : { workOf: workOf(request, now, options.speeds) }),
+        }),
+        begin: (request, choice, load, now) => {
+            const { entry, process } = choice.upstream;
+            const left = entry.dataCentre !== options.dataCentre;
             if (left) {
-                options.countLeft(request.service, choice.placement?.reason ?? "shift");
+                options.countLeft(request.service, choice.placement?.reason ?? "not-weighed");
             }
             const endPrefixUse =
                 request.affinityKey === undefined ? undefined : prefixUses.begin(request.affinityKey, now);
+            const cachedTokens =
+                options.speeds === undefined || choice.placement === undefined
+                    ? 0
+                    : request.sharedTokens - choice.placement.unreadTokens;
+            const pendingTokens = request.promptTokens - cachedTokens;
+            const record = (measure: SpeedMeasure, value: number, at: number): void =>
+                options.speeds?.record(request.service, request.model ?? "", process, measure, value, at);
+            // A request that waits for a slot does not show the speed.
+            const hasSlot = load.requests < entry.slots;
             return {
                 send: left ? countingSend : options.send,
-                fields: fieldsOf(choice.placement, spillover.share(spilloverKey(request))),
-                end: () => endPrefixUse?.(),
+                fields: {
+                    ...fieldsOf(choice.placement, spillover.share(spilloverKey(request))),
+                    ...speedFields(request, process, now),
+                },
+                pendingTokens,
+                recordAnswer: at => {
+                    const elapsed = Math.max(1, at - now - OVERHEAD_MILLISECONDS);
+                    const tokens = load.pendingTokens + pendingTokens;
+                    if (!request.isEngine && hasSlot) {
+                        record("work", elapsed, at);
+                    }
+                    else if (request.isEngine && hasSlot && tokens >= MINIMUM_MEASURED_TOKENS) {
+                        record("prompt", tokens / Math.max(1, elapsed - stepMilliseconds(load.requests)), at);
+                    }
+                },
+                end: (paceMilliseconds, at) => {
+                    endPrefixUse?.();
+                    if (request.isEngine && paceMilliseconds !== undefined) {
+                        record("step", paceMilliseconds / stepMilliseconds(load.requests), at);
+                    }
+                },
             };
         },
     };
--- a/src/node/upstream-table/upstream-choice.ts
+++ b/src/node/upstream-table/upstream-choice.ts
@@ -56,6 +56,13 @@
     /** Whether the limit that the upstream names allows this node one more request now. */
     readonly hasRoom: (upstream: RegisteredUpstream) => boolean;
     readonly random: Random;
+    /**
+     * Time for the work before the request, milliseconds. `unreadTokens` are those of the shared prefix that the
+     * upstream must process.
+     *
+     * @default the same speed of all upstreams
+     */
+    readonly workOf?: (upstream: RegisteredUpstream, load: Load, unreadTokens: number) => number;
     /** Weighs the data centres; `undefined` when they make no difference. */
     readonly dataCentres?: DataCentreView;
 }
