--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -44,6 +44,7 @@
 import { createRequestPlacement } from "../upstream-table/request-placement.js";
 import { createSpillover } from "../upstream-table/spillover.js";
 import { createUpstreamLimits } from "../upstream-table/upstream-limits.js";
+import { createUpstreamSpeeds } from "../upstream-table/upstream-speeds.js";
 import { createUpstreamTable } from "../upstream-table/upstream-table.js";
 import { medianReportAge } from "../scarcity/report-age.js";
 import { createScarcity } from "../scarcity/scarcity.js";
@@ -353,6 +354,7 @@
               })
             : undefined;
 
+    const speeds = config.placement.learnSpeeds === true ? createUpstreamSpeeds() : undefined;
     const loadReports = createLoadReports({
         node: config.node.id,
         ...splitEndpoint(config.loads.listen),
@@ -376,6 +378,7 @@
         limits,
         brittle,
         waiting: scarcity,
+        ...(speeds === undefined ? {} : { speeds }),
         clock,
         random,
         lifecycle,
@@ -390,9 +393,11 @@
     };
 
     const placement =
-        config.placement.preferOwnDataCentre === true
+        config.placement.preferOwnDataCentre === true || speeds !== undefined
             ? createRequestPlacement({
                   dataCentre: config.node.dataCentre,
+                  prefersOwn: config.placement.preferOwnDataCentre === true,
+                  speeds,
                   prices: config.placement,
                   nodes: () => nodes.entries(),
                   prefixUses: createPrefixUses(),
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -11,6 +11,7 @@
 import type { WireWaiting } from "../scarcity/waiting-elsewhere.js";
 import type { BrittleServices, WireBrittleService } from "./brittle-services.js";
 import type { UpstreamLimits, WireLimit } from "./upstream-limits.js";
+import type { UpstreamSpeeds, WireSpeed } from "./upstream-speeds.js";
 import type { Load, LoadBoard } from "./load-board.js";
 
 /**
@@ -51,6 +52,9 @@
 /** Milliseconds since an observation. */
 const wireAge = z.number().check(z.gte(-MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS));
 
+/** Logarithm of a speed, and the number of requests behind it. */
+const wireAverage = z.tuple([z.number(), z.number()]);
+
 const wireNews = z.object({
     quarantine: z.optional(
         z.object({
@@ -65,6 +69,9 @@
     brittle: z.optional(z.array(z.tuple([z.string(), wireAge]))),
     isolated: z.optional(z.boolean()),
     waiting: z.optional(z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]))),
+    speeds: z.optional(
+        z.array(z.tuple([z.string(), z.string(), z.string(), wireAverage, wireAverage, wireAverage])),
+    ),
 });
 
 function isLoad(entry: unknown): boolean {
@@ -111,6 +118,7 @@
     readonly isolated?: boolean;
     /** Requests that wait for capacity at the node. */
     readonly waiting?: readonly WireWaiting[];
+    readonly speeds?: readonly WireSpeed[];
 }
 
 export interface LoadReports {
@@ -131,6 +139,8 @@
     readonly limits: Pick<UpstreamLimits, "report" | "merge">;
     /** Services whose upstreams rejections crash, which the reports carry. */
     readonly brittle: Pick<BrittleServices, "report" | "merge">;
+    /** Speeds of upstreams that were learnt, which the reports carry. @default none */
+    readonly speeds?: Pick<UpstreamSpeeds, "report" | "merge">;
     /** Whether this node has no path to the upstreams. */
     readonly isIsolated: () => boolean;
     readonly peerStates: Pick<PeerStates, "record">;
@@ -203,6 +213,9 @@
             if (news?.limits !== undefined) {
                 options.limits.merge(news.limits, now);
             }
+            if (news?.speeds !== undefined) {
+                options.speeds?.merge(news.speeds, now);
+            }
             if (news?.brittle !== undefined) {
                 options.brittle.merge(news.brittle, now);
             }
@@ -228,7 +241,8 @@
         const brittle = options.brittle.report(now);
         const isolated = options.isIsolated() ? true : undefined;
         const waiting = options.waiting?.reportWaiting();
-        const allNews: WireNews = { quarantine, limits, brittle, isolated, waiting };
+        const speeds = options.speeds?.report(now);
+        const allNews: WireNews = { quarantine, limits, brittle, isolated, waiting, speeds };
         const hasNews = Object.values(allNews).some(part => part !== undefined);
         const news = hasNews ? allNews : undefined;
         const hasContent = board.ownLoads().size > 0 || ejected.length > 0;
