--- a/src/node/leases/lease-state.ts
+++ b/src/node/leases/lease-state.ts
@@ -55,6 +55,8 @@
     readonly duty: string;
     readonly holder: string;
     readonly durationMilliseconds: number;
+    /** Share of the duration after which the holder renews the lease. */
+    readonly renewalShare: number;
     /** Whether this node wants the lease. */
     readonly wanted: boolean;
     readonly held: HeldLease | undefined;
@@ -73,11 +75,18 @@
     readonly notBefore: number;
 }
 
-export function initialLeaseState(duty: string, holder: string, durationMilliseconds: number): LeaseState {
+/** @param renewalShare @default RENEWAL_SHARE */
+export function initialLeaseState(
+    duty: string,
+    holder: string,
+    durationMilliseconds: number,
+    renewalShare = RENEWAL_SHARE,
+): LeaseState {
     return {
         duty,
         holder,
         durationMilliseconds,
+        renewalShare,
         wanted: true,
         held: undefined,
         observed: undefined,
@@ -156,7 +165,7 @@
         if (!state.wanted) {
             return handBack(state, state.held.fencing, now);
         }
-        const renewAt = state.held.renewedAt + state.durationMilliseconds * RENEWAL_SHARE;
+        const renewAt = state.held.renewedAt + state.durationMilliseconds * state.renewalShare;
         return now >= renewAt ? renewal(state, state.held.fencing, now) : undefined;
     }
     if (!state.wanted) {
