Pass load reports through aggregating nodes above 16 peers

Each node sent its report to 16 peers every 0.1 s, so a load reached a given peer only every (nodes / 16) intervals. Above 16 peers, a node now reports to the first two nodes of its data centre. The first one exchanges sums with the other data centres and sends its nodes the total of all; the second takes over when it is silent. A node subtracts from a total its own report that the total includes, by sequence number. Lists of the covered nodes keep what is known of each node (heard, isolated); news is passed on within 10 ms per step. A node that hears from no aggregating node for 0.5 s reports to its peers directly. Nodes of earlier versions are known from the node list and served as before; up to 16 peers the datagrams are unchanged.

--- a/src/node/replica/relay-choice.ts
+++ b/src/node/replica/relay-choice.ts
@@ -29,7 +29,7 @@
 const MAXIMUM_RELAYS = 3;
 
 /** Nodes of one data centre, those with the fastest links first, and by rendezvous hashing among equals. */
-function orderOf<Candidate extends RelayCandidate>(
+export function orderOf<Candidate extends RelayCandidate>(
     dataCentre: string,
     nodes: readonly Candidate[],
 ): readonly Candidate[] {
--- a/src/node/router/node-list.ts
+++ b/src/node/router/node-list.ts
@@ -19,6 +19,8 @@
     readonly region?: string;
     /** `ip:port` at which the node takes requests of nodes without a path to the upstreams. */
     readonly handoverAddress?: string;
+    /** The node takes part in aggregated load reports. Absent on nodes of earlier versions. */
+    readonly aggregatesLoads?: boolean;
 }
 
 export interface NodeList {
@@ -56,6 +58,7 @@
     linkMegabitsPerSecond: z.optional(z.number()),
     region: z.optional(z.string()),
     handoverAddress: z.optional(z.string()),
+    aggregatesLoads: z.optional(z.boolean()),
 });
 
 /**
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -35,6 +35,7 @@
 import { createRowReplica, preferStored } from "../replica/row-replica.js";
 import { createStoreSync } from "../replica/store-sync.js";
 import { resolveStoreTiming } from "../replica/store-timing.js";
+import { createAggregationPlans } from "../upstream-table/aggregation-plan.js";
 import { createLoadBoard } from "../upstream-table/load-board.js";
 import { createLoadReports } from "../upstream-table/load-reports.js";
 import { createActiveNodes } from "../upstream-table/active-nodes.js";
@@ -158,6 +159,7 @@
             linkMegabitsPerSecond: config.node.linkMegabitsPerSecond,
             region: config.node.region,
             handoverAddress: config.handover?.listen,
+            aggregatesLoads: true,
         },
         replica: replicas.nodes,
         store: adapter.store,
@@ -330,11 +332,8 @@
                 .map(upstream => upstream.entry.id),
         isIsolated: () => reachability.isIsolated(),
         peerStates,
-        peers: () =>
-            nodes
-                .entries()
-                .filter(entry => entry.id !== config.node.id)
-                .map(entry => entry.address),
+        dataCentre: config.node.dataCentre,
+        plan: createAggregationPlans(nodes.self, nodes.entries),
         quarantine,
         limits,
         brittle,
@@ -507,6 +506,8 @@
     metrics.gauge("quarantined_prompt_parts", () => countQuarantined("prompt part"));
     metrics.gauge("quarantined_requests", () => countQuarantined("request"));
     metrics.gauge("limited_upstreams", () => limits.size);
+    metrics.gauge("load_reports_aggregating", () => (loadReports.isAggregating() ? 1 : 0));
+    metrics.gauge("load_reports_direct", () => (loadReports.isFallback() ? 1 : 0));
     metrics.gauge("sessions", () => sessions.size);
 
     const drain = async (startedAt: number): Promise<void> => {
--- a/src/node/upstream-table/active-nodes.ts
+++ b/src/node/upstream-table/active-nodes.ts
@@ -1,5 +1,6 @@
 /** Nodes that take part in shares of a limit: those that have reported their load lately. */
-import { PEERS_PER_INTERVAL, REPORT_INTERVAL_MILLISECONDS } from "./load-reports.js";
+import { PEERS_PER_INTERVAL } from "./aggregation-plan.js";
+import { REPORT_INTERVAL_MILLISECONDS } from "./load-reports.js";
 
 export interface ActiveNodes {
     /**
--- a/src/node/upstream-table/load-board.ts
+++ b/src/node/upstream-table/load-board.ts
@@ -33,6 +33,18 @@
     begin(upstream: string, pendingTokens: number, heldTokens: number): LoadEntry;
     /** Replaces the report of another node: its loads and the upstreams that it ejected. */
     report(node: string, loads: NodeLoads, ejected: readonly string[], now: number): void;
+    /**
+     * Replaces a sum over several nodes.
+     *
+     * @param ejections Number of the nodes that ejected an upstream, by upstream.
+     */
+    reportSum(source: string, loads: NodeLoads, ejections: ReadonlyMap<string, number>, now: number): void;
+    /** Removes the sums whose source begins with a prefix. */
+    removeSums(prefix: string): void;
+    /** Sets which reports and sums count, so that no node counts twice. */
+    select(selection: LoadSelection): void;
+    /** Records that another node has reported elsewhere. */
+    recordHeard(node: string, at: number): void;
     /** Monotonic time of the last report of another node. */
     heardAt(node: string): number | undefined;
     /** Number of other nodes that report the upstream as ejected. */
@@ -45,8 +57,13 @@
     readonly revision: number;
 }
 
+export interface LoadSelection {
+    readonly isNodeCounted: (node: string, now: number) => boolean;
+    readonly isSumCounted: (source: string, now: number) => boolean;
+}
+
 /** Time for which the report of a node counts, milliseconds: a few reporting intervals. */
-const REPORT_VALIDITY_MILLISECONDS = 1500;
+export const REPORT_VALIDITY_MILLISECONDS = 1500;
 
 /** More nodes than a deployment has, with those that were replaced. */
 const MAXIMUM_HEARD_NODES = 4096;
@@ -58,7 +75,13 @@
     readonly at: number;
 }
 
-function add(first: Load, second: Load): Load {
+interface SumReport {
+    readonly loads: NodeLoads;
+    readonly ejections: ReadonlyMap<string, number>;
+    readonly at: number;
+}
+
+export function addLoads(first: Load, second: Load): Load {
     return {
         pendingTokens: first.pendingTokens + second.pendingTokens,
         requests: first.requests + second.requests,
@@ -69,12 +92,14 @@
 export function createLoadBoard(): LoadBoard {
     const ownLoads = new Map<string, Load>();
     const reports = new Map<string, NodeReport>();
+    const sums = new Map<string, SumReport>();
+    let selection: LoadSelection = { isNodeCounted: () => true, isSumCounted: () => true };
     const heardAt = createBoundedMap<number>(MAXIMUM_HEARD_NODES);
     let revision = 0;
 
     const changeOwnLoad = (upstream: string, difference: Load): void => {
         revision += 1;
-        const load = add(ownLoads.get(upstream) ?? NO_LOAD, difference);
+        const load = addLoads(ownLoads.get(upstream) ?? NO_LOAD, difference);
         if (load.requests > 0) {
             ownLoads.set(upstream, load);
         }
@@ -111,11 +136,32 @@
             reports.set(node, { loads, ejected: new Set(ejected), at: now });
             heardAt.set(node, now);
         },
+        reportSum: (source, loads, ejections, now) => {
+            sums.set(source, { loads, ejections, at: now });
+        },
+        removeSums: prefix => {
+            [...sums.keys()]
+                .filter(source => source.startsWith(prefix))
+                .forEach(source => sums.delete(source));
+        },
+        select: next => {
+            selection = next;
+        },
+        recordHeard: (node, at) => {
+            if (at > (heardAt.get(node) ?? -Infinity)) {
+                heardAt.set(node, at);
+            }
+        },
         heardAt: node => heardAt.get(node),
         ejections: (upstream, now) => {
             let count = 0;
-            for (const { ejected, at } of reports.values()) {
-                count += at + REPORT_VALIDITY_MILLISECONDS >= now && ejected.has(upstream) ? 1 : 0;
+            for (const [node, { ejected, at }] of reports) {
+                const isValid = at + REPORT_VALIDITY_MILLISECONDS >= now;
+                count += isValid && ejected.has(upstream) && selection.isNodeCounted(node, now) ? 1 : 0;
+            }
+            for (const [source, { ejections, at }] of sums) {
+                const isValid = at + REPORT_VALIDITY_MILLISECONDS >= now;
+                count += isValid && selection.isSumCounted(source, now) ? (ejections.get(upstream) ?? 0) : 0;
             }
             return count;
         },
@@ -127,8 +173,18 @@
                     continue;
                 }
                 const reported = loads.get(upstream);
-                if (reported !== undefined) {
-                    load = add(load, reported);
+                if (reported !== undefined && selection.isNodeCounted(node, now)) {
+                    load = addLoads(load, reported);
+                }
+            }
+            for (const [source, { loads, at }] of sums) {
+                if (at + REPORT_VALIDITY_MILLISECONDS < now) {
+                    sums.delete(source);
+                    continue;
+                }
+                const reported = loads.get(upstream);
+                if (reported !== undefined && selection.isSumCounted(source, now)) {
+                    load = addLoads(load, reported);
                 }
             }
             return load;
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -1,4 +1,7 @@
-/** Exchanges load reports with the other nodes as UDP datagrams. */
+/**
+ * Exchanges load reports with the other nodes as UDP datagrams: with each of them, or in larger deployments through
+ * the nodes that aggregate them.
+ */
 import { createSocket } from "node:dgram";
 import * as z from "zod/mini";
 import type { Clock } from "../common/clock.js";
@@ -9,7 +12,12 @@
 import type { Quarantine, QuarantineReport } from "../quarantine/quarantine.js";
 import type { BrittleServices, WireBrittleService } from "./brittle-services.js";
 import type { UpstreamLimits, WireLimit } from "./upstream-limits.js";
+import { PEERS_PER_INTERVAL } from "./aggregation-plan.js";
+import type { AggregationPlan } from "./aggregation-plan.js";
+import { createLoadAggregation } from "./load-aggregation.js";
+import { decodeAggregate, parseDatagram } from "./load-messages.js";
 import type { Load, LoadBoard } from "./load-board.js";
+import { createNewsRelay } from "./news-relay.js";
 
 /**
  * Interval between reports while the load changes, milliseconds. A fraction of the time to process a long
@@ -23,11 +31,8 @@
 /** Intervals after which an unchanged load is sent again, in case datagrams were lost. */
 const REPEAT_AFTER_INTERVALS = 5;
 
-/**
- * Peers that get a report in one interval. More peers are served round-robin, so the cost per node is
- * bounded.
- */
-export const PEERS_PER_INTERVAL = 16;
+/** Aggregating nodes of other data centres that a node without one of its own reports to in one interval. */
+const REMOTE_AGGREGATORS_PER_INTERVAL = 8;
 
 /** More nodes than a deployment has. */
 const MAXIMUM_NODES = 10_000;
@@ -62,6 +67,8 @@
     limits: z.optional(z.array(z.tuple([z.string(), z.number(), wireAge]))),
     brittle: z.optional(z.array(z.tuple([z.string(), wireAge]))),
     isolated: z.optional(z.boolean()),
+    sequence: z.optional(z.number()),
+    fallback: z.optional(z.boolean()),
 });
 
 function isLoad(entry: unknown): boolean {
@@ -74,13 +81,12 @@
 }
 
 /**
- * Decodes a datagram, which any process on the network can send. The loads are checked without a schema, as
+ * Checks a report, which any process on the network can send. The loads are checked without a schema, as
  * a node receives hundreds of reports per second.
  *
  * @throws Error when it is not a load report.
  */
-function decodeReport(text: string): WireReport {
-    const report: unknown = JSON.parse(text);
+function decodeReport(report: unknown): WireReport {
     if (!Array.isArray(report)) {
         throw new TypeError("the report is not a list");
     }
@@ -106,17 +112,40 @@
     readonly brittle?: readonly WireBrittleService[];
     /** The node has no path to the upstreams. */
     readonly isolated?: boolean;
+    /** Number of the report, where reports are aggregated. */
+    readonly sequence?: number;
+    /** The node hears from no aggregating node. */
+    readonly fallback?: boolean;
+}
+
+/** Sends and receives datagrams. */
+export interface DatagramPort {
+    bind(port: number, address: string, onBound: () => void): void;
+    send(datagram: string | Buffer, port: number, address: string): void;
+    onMessage(listener: (message: Buffer) => void): void;
+    /** Adds a listener for errors, and returns a function that removes it. */
+    onError(listener: (error: Error) => void): () => void;
+    close(): void;
 }
 
 export interface LoadReports {
     /** Sends a report soon, because other nodes should not wait for what it holds. */
     sendSoon(): void;
+    /** Whether this node sums up the reports of its data centre. */
+    isAggregating(): boolean;
+    /** Whether reports are aggregated, but this node hears from no aggregating node. */
+    isFallback(): boolean;
 }
 
 export interface LoadReportOptions {
     readonly node: string;
+    readonly dataCentre: string;
     readonly address: string;
     readonly port: number;
+    /** Who exchanges reports with whom; all nodes listen on the same port. */
+    readonly plan: () => AggregationPlan;
+    /** @default a UDP socket */
+    readonly openPort?: () => DatagramPort;
     readonly board: LoadBoard;
     /** Ids of the upstreams that this node has ejected. */
     readonly ejected: () => readonly string[];
@@ -129,8 +158,6 @@
     /** Whether this node has no path to the upstreams. */
     readonly isIsolated: () => boolean;
     readonly peerStates: Pick<PeerStates, "record">;
-    /** IP addresses of the nodes that get reports; all listen on the same port. */
-    readonly peers: () => readonly string[];
     readonly clock: Clock;
     readonly random: Random;
     readonly lifecycle: Lifecycle;
@@ -165,39 +192,138 @@
     return { chosen, cursor: (start + count) % peers.length };
 }
 
-export function createLoadReports(options: LoadReportOptions): LoadReports {
-    const { board, logger } = options;
+function openUdpPort(): DatagramPort {
     const socket = createSocket("udp4");
+    return {
+        bind: (port, address, onBound) => void socket.bind(port, address, onBound),
+        send: (datagram, port, address) => socket.send(datagram, port, address),
+        onMessage: listener => void socket.on("message", listener),
+        onError: listener => {
+            socket.on("error", listener);
+            return () => socket.off("error", listener);
+        },
+        close: () => void socket.close(),
+    };
+}
+
+export function createLoadReports(options: LoadReportOptions): LoadReports {
+    const { board, clock, logger } = options;
+    const socket = (options.openPort ?? openUdpPort)();
+    const firstSequence = Math.floor(clock.wallTime());
+    const aggregation = createLoadAggregation({
+        node: options.node,
+        dataCentre: options.dataCentre,
+        plan: options.plan,
+        firstSequence,
+        board,
+        recordState: (node, isIsolated, at) => options.peerStates.record(node, isIsolated, at),
+    });
+    board.select(aggregation.selection);
+    const newsForMembers = createNewsRelay();
+    const newsForOthers = createNewsRelay();
+    let sequence = firstSequence;
     let sentRevision = -1;
     let unchangedIntervals = 0;
     // Nodes start at different peers, so that news does not reach the same peers from all of them.
     let cursor = Math.floor(options.random() * MAXIMUM_NODES);
+    let remoteCursor = cursor;
     let isOpen = false;
     let early: NodeJS.Timeout | undefined;
+    let earlyNews: NodeJS.Timeout | undefined;
+    let loggedRole = "member";
 
-    socket.on("message", message => {
-        if (message.length > MAXIMUM_DATAGRAM_BYTES) {
+    const sendNews = (): void => {
+        const now = clock.now();
+        const { own, remote } = aggregation.newsReceivers(now);
+        const send = (contents: readonly object[], addresses: readonly string[]): void => {
+            for (const content of contents) {
+                const datagram = JSON.stringify({ news: options.node, content });
+                addresses.forEach(address => socket.send(datagram, options.port, address));
+            }
+        };
+        send(newsForMembers.take(now), own);
+        send(newsForOthers.take(now), remote);
+    };
+
+    const passOn = (news: WireNews, isOfDataCentre: boolean, now: number): void => {
+        if (!aggregation.isAggregating(now)) {
             return;
         }
-        try {
-            const [node, entries, ejected, news] = decodeReport(message.toString());
-            const loads = new Map(
-                entries.map(([id, pendingTokens, requests, heldTokens]): [string, Load] => [
-                    id,
-                    { pendingTokens, requests, heldTokens },
-                ]),
-            );
-            const now = options.clock.now();
+        const hasOwn = newsForMembers.add(news, now);
+        const hasRemote = isOfDataCentre && newsForOthers.add(news, now);
+        if ((hasOwn || hasRemote) && isOpen) {
+            earlyNews ??= setTimeout(() => {
+                earlyNews = undefined;
+                sendNews();
+            }, EARLY_REPORT_MILLISECONDS);
+        }
+    };
+
+    const merge = (news: WireNews, now: number): void => {
+        if (news.quarantine !== undefined) {
+            options.quarantine.merge(news.quarantine, now);
+        }
+        if (news.limits !== undefined) {
+            options.limits.merge(news.limits, now);
+        }
+        if (news.brittle !== undefined) {
+            options.brittle.merge(news.brittle, now);
+        }
+    };
+
+    const receiveReport = ([node, entries, ejected, news]: WireReport, now: number): void => {
+        const loads = new Map(
+            entries.map(([id, pendingTokens, requests, heldTokens]): [string, Load] => [
+                id,
+                { pendingTokens, requests, heldTokens },
+            ]),
+        );
+        const isIsolated = news?.isolated === true;
+        const isFallback = news?.fallback === true;
+        const report = { node, loads, ejected, sequence: news?.sequence, isFallback, isIsolated };
+        if (aggregation.recordReport(report, now)) {
             board.report(node, loads, ejected, now);
-            options.peerStates.record(node, news?.isolated === true, now);
-            if (news?.quarantine !== undefined) {
-                options.quarantine.merge(news.quarantine, now);
+            options.peerStates.record(node, isIsolated, now);
+        }
+        if (news !== undefined) {
+            merge(news, now);
+            passOn(news, options.plan().members.has(node), now);
+        }
+    };
+
+    const receiveAggregate = (value: unknown, now: number): void => {
+        const message = decodeAggregate(value);
+        switch (message.kind) {
+            case "sum":
+                aggregation.recordSum(message, now);
+                return;
+            case "total":
+                aggregation.recordTotal(message, now);
+                return;
+            case "nodes":
+                aggregation.recordNodes(message, now);
+                return;
+            case "news": {
+                const news = wireNews.parse(message.news);
+                merge(news, now);
+                if (!options.plan().members.has(message.sender)) {
+                    passOn(news, false, now);
+                }
             }
-            if (news?.limits !== undefined) {
-                options.limits.merge(news.limits, now);
+        }
+    };
+
+    socket.onMessage(message => {
+        if (message.length > MAXIMUM_DATAGRAM_BYTES) {
+            return;
+        }
+        try {
+            const value = parseDatagram(message);
+            if (Array.isArray(value)) {
+                receiveReport(decodeReport(value), clock.now());
             }
-            if (news?.brittle !== undefined) {
-                options.brittle.merge(news.brittle, now);
+            else {
+                receiveAggregate(value, clock.now());
             }
         }
         catch (error) {
@@ -206,15 +332,56 @@
             });
         }
     });
-    socket.on("error", error =>
+    socket.onError(error =>
         logger.warn("Socket error while exchanging load reports.", { error: error.message }),
     );
 
+    const logRole = (isAggregating: boolean, isFallback: boolean): void => {
+        const role = isAggregating ? "aggregates" : isFallback ? "reports directly" : "member";
+        if (role !== loggedRole) {
+            const { rank, members, peers } = options.plan();
+            logger.info("The role of this node in load reports has changed.", {
+                role,
+                previous: loggedRole,
+                rank,
+                members: members.size,
+                peers: peers.size,
+            });
+            loggedRole = role;
+        }
+    };
+
+    /** Peers that get the report of this node now. */
+    const receiversOf = (plan: AggregationPlan, isFallback: boolean): readonly string[] => {
+        const all = [...plan.peers.values()].map(({ address }) => address);
+        if (!plan.isAggregated) {
+            const selection = nextPeers(all, cursor, PEERS_PER_INTERVAL);
+            cursor = selection.cursor;
+            return selection.chosen;
+        }
+        const direct = isFallback ? all : plan.directPeers.map(({ address }) => address);
+        const selection = nextPeers(direct, cursor, PEERS_PER_INTERVAL);
+        cursor = selection.cursor;
+        const remote = nextPeers(
+            isFallback ? plan.remoteAggregators.map(({ address }) => address) : [],
+            remoteCursor,
+            REMOTE_AGGREGATORS_PER_INTERVAL,
+        );
+        remoteCursor = remote.cursor;
+        const aggregators = plan.aggregators.map(({ address }) => address);
+        return [...new Set([...aggregators, ...remote.chosen, ...selection.chosen])];
+    };
+
     const send = (): void => {
-        const peers = options.peers();
-        const isRoundRobin = peers.length > PEERS_PER_INTERVAL;
+        const plan = options.plan();
+        const now = clock.now();
+        aggregation.tick(now);
+        const isFallback = aggregation.isFallback(now);
+        const isAggregating = aggregation.isAggregating(now);
+        logRole(isAggregating, isFallback);
+        const directPeers = plan.isAggregated && !isFallback ? plan.directPeers.length : plan.peers.size;
+        const isRoundRobin = directPeers > PEERS_PER_INTERVAL;
         const ejected = options.ejected();
-        const now = options.clock.now();
         const quarantine = options.quarantine.report(now);
         const limits = options.limits.report(now);
         const brittle = options.brittle.report(now);
@@ -222,20 +389,37 @@
         const allNews: WireNews = { quarantine, limits, brittle, isolated };
         const hasNews = Object.values(allNews).some(part => part !== undefined);
         const news = hasNews ? allNews : undefined;
-        const hasContent = board.ownLoads().size > 0 || ejected.length > 0;
+        const hasContent = board.ownLoads().size > 0 || ejected.length > 0 || isFallback;
         unchangedIntervals = board.revision === sentRevision ? unchangedIntervals + 1 : 0;
         const isRepeat =
             unchangedIntervals > 0 && hasContent && unchangedIntervals % REPEAT_AFTER_INTERVALS === 0;
         const mayWait = unchangedIntervals > 0 && !isRepeat && !(isRoundRobin && hasContent);
-        if (mayWait && news === undefined) {
-            return;
+        if (!mayWait || news !== undefined) {
+            sentRevision = board.revision;
+            sequence += plan.isAggregated ? 1 : 0;
+            const loads = new Map(board.ownLoads());
+            aggregation.recordOwn({ sequence, loads, ejections: new Map(ejected.map(id => [id, 1])) });
+            const fallback = isFallback ? true : undefined;
+            const content = plan.isAggregated ? { ...allNews, sequence, fallback } : news;
+            const datagram = encode(options.node, loads, ejected, content);
+            for (const peer of receiversOf(plan, isFallback)) {
+                socket.send(datagram, options.port, peer);
+            }
         }
-        sentRevision = board.revision;
-        const datagram = encode(options.node, board.ownLoads(), ejected, news);
-        const selection = nextPeers(peers, cursor, PEERS_PER_INTERVAL);
-        cursor = selection.cursor;
-        for (const peer of selection.chosen) {
-            socket.send(datagram, options.port, peer);
+        if (isAggregating) {
+            if (news !== undefined) {
+                newsForMembers.add(news, now);
+                newsForOthers.add(news, now);
+            }
+            sendNews();
+            const own = {
+                sequence,
+                loads: board.ownLoads(),
+                ejections: new Map(ejected.map(id => [id, 1])),
+            };
+            for (const { address, datagram } of aggregation.messages(own, isolated === true, now)) {
+                socket.send(datagram, options.port, address);
+            }
         }
     };
 
@@ -243,9 +427,9 @@
         name: "load reports",
         start: async () => {
             await new Promise<void>((resolve, reject) => {
-                socket.once("error", reject);
+                const stopListening = socket.onError(reject);
                 socket.bind(options.port, options.address, () => {
-                    socket.off("error", reject);
+                    stopListening();
                     resolve();
                 });
             });
@@ -254,6 +438,7 @@
             return () => {
                 clearInterval(timer);
                 clearTimeout(early);
+                clearTimeout(earlyNews);
                 isOpen = false;
                 socket.close();
             };
@@ -269,5 +454,7 @@
                 }, EARLY_REPORT_MILLISECONDS);
             }
         },
+        isAggregating: () => aggregation.isAggregating(clock.now()),
+        isFallback: () => aggregation.isFallback(clock.now()),
     };
 }
