--- a/src/node/scarcity/__tests__/forwarding.spec.ts
+++ b/src/node/scarcity/__tests__/forwarding.spec.ts
@@ -10,6 +10,7 @@
 function withScarcity(defaults: RequestForwarderOptions): Partial<RequestForwarderOptions> {
     return {
         scarcity: createScarcity({
+            node: "n1",
             clock: systemClock,
             random: Math.random,
             loads: defaults.loads,
--- a/src/node/scarcity/__tests__/many-nodes.spec.ts
+++ b/src/node/scarcity/__tests__/many-nodes.spec.ts
@@ -94,10 +94,13 @@
     const engines = Array.from({ length: load.engines }, () =>
         createEngine(load.slots, load.residenceMilliseconds),
     );
-    const nodes = Array.from({ length: load.nodes }, () => {
+    const nodes = Array.from({ length: load.nodes }, (_, index) => {
         const loads = createLoadBoard();
-        const upstreams = engines.map((_, index) => createTestUpstream(`${index}`, { slots: load.slots }));
+        const upstreams = engines.map((_engine, engine) =>
+            createTestUpstream(`${engine}`, { slots: load.slots }),
+        );
         const scarcity = createScarcity({
+            node: `${index}`,
             clock,
             random,
             loads,
@@ -174,7 +177,7 @@
                 nodes.forEach((other, to) => {
                     if (from !== to && random() * 10 >= load.lostOfTen) {
                         other.loads.report(`${from}`, new Map(loads.ownLoads()), [], clock.now());
-                        other.scarcity.mergeWaiting(`${from}`, scarcity.reportWaiting() ?? [], clock.now());
+                        other.scarcity.mergeWaiting(scarcity.reportWaiting(clock.now()) ?? [], clock.now());
                     }
                 }),
             );
--- a/src/node/scarcity/__tests__/scarcity.spec.ts
+++ b/src/node/scarcity/__tests__/scarcity.spec.ts
@@ -59,6 +59,7 @@
     );
     const suspected: string[] = [];
     const scarcity = createScarcity({
+        node: "n1",
         clock,
         random: () => 0.5,
         loads,
@@ -283,15 +284,15 @@
 test("a slot is left to a more urgent request that waits at another node, until that no longer reports", async context => {
     const fixture = createFixture(context);
     fill(fixture, "e0", 3);
-    fixture.scarcity.mergeWaiting("n2", [["engines", 0, 0, 1]], Date.now());
+    fixture.scarcity.mergeWaiting([["n2", "engines", 0, 0, 1]], Date.now());
     const urgent = fixture.admit({ route: { priority: 0 } });
     await fixture.pass(5);
     assert.equal(urgent.outcome()?.kind, "admitted", "equally urgent");
     const later = fixture.admit({ route: { priority: 2 } });
     await fixture.pass(500);
     assert.equal(later.outcome(), undefined);
-    assert.deepEqual(fixture.scarcity.reportWaiting(), [["engines", 2, 2, 1]]);
-    fixture.scarcity.mergeWaiting("n2", [], Date.now());
+    assert.deepEqual(fixture.scarcity.reportWaiting(Date.now()), [["n1", "engines", 2, 2, 1]]);
+    fixture.scarcity.mergeWaiting([["n2", "engines", 0, 0, 0]], Date.now());
     fixture.loads.begin("e0", 0, 0);
     await fixture.pass(100);
     assert.equal(later.outcome(), undefined, "the slots are taken");
--- a/src/node/scarcity/scarcity.ts
+++ b/src/node/scarcity/scarcity.ts
@@ -28,7 +28,7 @@
 import type { ServiceLoad } from "./service-load.js";
 import { createSuspectUpstreams, LONGEST_SUSPICION_MILLISECONDS } from "./suspect-upstreams.js";
 import { enginePriorityOf, urgencyOf } from "./urgency.js";
-import { createWaitingElsewhere } from "./waiting-elsewhere.js";
+import { createWaitingElsewhere, createWaitingReports } from "./waiting-elsewhere.js";
 import type { WireWaiting } from "./waiting-elsewhere.js";
 import { createWaitingRequests } from "./waiting-requests.js";
 import type { WaitingRequest, WaitingRequests } from "./waiting-requests.js";
@@ -88,14 +88,16 @@
     /** Ids of the upstreams that other nodes should avoid as this one does. */
     suspects(): readonly string[];
     /** Requests that wait at this node, for the other nodes; `undefined` when there are none. */
-    reportWaiting(): readonly WireWaiting[] | undefined;
-    mergeWaiting(node: string, waiting: readonly WireWaiting[], now: number): void;
+    reportWaiting(now: number): readonly WireWaiting[] | undefined;
+    mergeWaiting(waiting: readonly WireWaiting[], now: number): void;
     /** Requests that wait at this node. */
     waitingRequests(): number;
     waitingBytes(): number;
 }
 
 export interface ScarcityOptions {
+    /** Id of this node. */
+    readonly node: string;
     readonly clock: Clock;
     readonly random: Random;
     readonly loads: Pick<LoadBoard, "total" | "ejections" | "revision">;
@@ -172,7 +174,8 @@
     const { clock, random } = options;
     const services = createBoundedMap<ServiceState>(MAXIMUM_SERVICES);
     const suspects = createSuspectUpstreams();
-    const elsewhere = createWaitingElsewhere();
+    const elsewhere = createWaitingElsewhere(options.node);
+    const waitingReports = createWaitingReports();
     let timer: NodeJS.Timeout | undefined;
     let suspectedAt = -Infinity;
     let totals = { at: -Infinity, revision: -1, byUpstream: new Map<string, Load>() };
@@ -539,18 +542,21 @@
                         : [];
                 });
         },
-        reportWaiting: () => {
-            if (timer === undefined) {
-                return undefined;
-            }
-            const reported = states()
-                .flatMap(({ name, waiting }) =>
-                    waiting
+        reportWaiting: now => {
+            const waiting = states()
+                .flatMap(({ name, waiting: requests }) =>
+                    requests
                         .counts()
-                        .map(([{ workspace, route }, count]) => [name, workspace, route, count] as const),
+                        .map(([{ workspace, route }, count]): WireWaiting => [
+                            options.node,
+                            name,
+                            workspace,
+                            route,
+                            count,
+                        ]),
                 )
                 .slice(0, MAXIMUM_REPORTED_COUNTS);
-            return reported.length === 0 ? undefined : reported;
+            return waitingReports.report(waiting, now);
         },
         mergeWaiting: (...reported) => elsewhere.merge(...reported),
         waitingRequests,
