Add the settings section [limits]

Clients outside the limits fill the memory and the descriptors of a node, and the node knows neither bound. The section names the memory and the file descriptors of the VM; nothing uses them yet. The defaults are above what callers within the limits of the configuration need.

--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -131,6 +131,15 @@
         }),
         {},
     ),
+    limits: z.prefault(
+        z.strictObject({
+            /** Memory of the VM for this process, megabytes. What is held for callers is limited by it. */
+            memoryMegabytes: z._default(positive, 4096),
+            /** File descriptors that the process may have open. The number of connections is limited by it. */
+            fileDescriptors: z._default(positive, 65_536),
+        }),
+        {},
+    ),
     logging: z.prefault(
         z.strictObject({
             level: z._default(z.enum(["debug", "info", "warn", "error", "silent"]), "info"),
