Bound what clients hold at a router node

Clients outside the limits ended the process: a body was kept as one buffer per chunk, a listener read the socket of a message that had lost it, the requests of a connection ran at the same time, and nothing bounded bodies, unread answers and connections together.

- A budget for buffers and heap objects sheds the largest and slowest holders.
A body that is being read gets a 503 with Retry-After; a request that may run loses its connection.
- Bodies are copied into a bounded number of buffers, must make progress, and must be whole in the time of their request; else 408.
The 413 is sent before the connection is closed, so that the client reads it.
- The requests of a connection run one after another; the rest stays unread.
- The number of connections to each listener is derived from the file descriptors.
- An error of one exchange ends its connection, and is logged and counted.
- The listeners for peers, metrics, readiness and handover have the same guard.

Responses of pipelined requests that got no turn before their connection closed counted as open forever, so that a planned stop waited for them.

--- a/src/node/forwarding/__tests__/open-requests.spec.ts
+++ b/src/node/forwarding/__tests__/open-requests.spec.ts
@@ -5,8 +5,10 @@
 import { connect } from "node:net";
 import { test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { createClientLimits } from "../../client-limits/client-limits.js";
 import { systemClock } from "../../common/clock.js";
 import { createLifecycle } from "../../lifecycle/lifecycle.js";
+import { createLogging } from "../../logging/logging.js";
 import { createRequestLog } from "../../logging/request-log.js";
 import { createRouteTable } from "../../routes/route-table.js";
 import type { Route } from "../../routes/entities.js";
@@ -87,6 +89,11 @@
             linesPerSecond: 0,
             notableLinesPerSecond: 0,
         }),
+        clientLimits: createClientLimits({
+            clock: systemClock,
+            logger: createLogging({ level: "silent", componentLevels: [], write: () => undefined })("test"),
+        }),
+        maximumConnections: 10,
         lifecycle,
         splitPositionOf: () => 0,
         onEnd: () => {
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -1,6 +1,11 @@
 /** HTTP server for callers: reads requests, matches them to routes and workspaces, and rejects all others. */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { BodyError, readBody } from "../client-limits/body-reader.js";
+import type { BodyFailure } from "../client-limits/body-reader.js";
+import type { ClientLimits } from "../client-limits/client-limits.js";
+import type { ClientLimit, GuardedExchange } from "../client-limits/connection-guard.js";
+import { endAfterRest } from "../client-limits/unread-body.js";
 import type { Clock } from "../common/clock.js";
 import { addListener } from "../common/listener.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
@@ -25,6 +30,8 @@
     readonly routes: () => RouteTable | undefined;
     readonly serve: (request: MatchedRequest, response: ServerResponse) => Promise<RequestEnd>;
     readonly requestLog: RequestLog;
+    readonly clientLimits: ClientLimits;
+    readonly maximumConnections: number;
     readonly lifecycle: Lifecycle;
     readonly onEnd: (end: RequestEnd, route: string | undefined, milliseconds: number) => void;
 }
@@ -32,6 +39,10 @@
 export interface ForwardingServer {
     /** Requests whose answers the callers' connections have not taken to the end. */
     openRequests(): number;
+    /** Open connections. */
+    connections(): number;
+    /** Requests that wait until the requests before them on their connections have ended. */
+    waitingRequests(): number;
     /**
      * Closes the connection after each further response and rejects requests that may not end in time.
      *
@@ -63,6 +74,7 @@
 
 const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
+const HTTP_TIMEOUT = 408;
 const HTTP_TOO_LARGE = 413;
 const HTTP_UNAVAILABLE = 503;
 
@@ -108,22 +120,27 @@
     return { route, workspace };
 }
 
-/** @throws RequestRejection when the body is larger than allowed. */
-async function readBody(message: IncomingMessage, maximumBytes: number): Promise<Buffer> {
-    if (Number(message.headers["content-length"] ?? 0) > maximumBytes) {
-        throw new RequestRejection(HTTP_TOO_LARGE, `the body is larger than ${maximumBytes} bytes`);
-    }
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        if (size > maximumBytes) {
-            throw new RequestRejection(HTTP_TOO_LARGE, `the body is larger than ${maximumBytes} bytes`);
-        }
-        chunks.push(chunk);
-    }
-    return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
+/** `Retry-After` of a request whose memory was needed for others, seconds: about the duration of one request. */
+const MEMORY_RETRY_SECONDS = 0.3;
+
+/** Timeouts until the first configuration is known, milliseconds. */
+const DEFAULT_IDLE_MILLISECONDS = 15_000;
+const DEFAULT_HEAD_MILLISECONDS = 3000;
+
+/** Rejections for bodies that were not read to their end. No part of their requests was sent. */
+const BODY_REJECTIONS: Readonly<
+    Record<Exclude<BodyFailure, "aborted">, (message: string) => RequestRejection>
+> = {
+    "too-large": message => new RequestRejection(HTTP_TOO_LARGE, message),
+    "too-slow": message => new RequestRejection(HTTP_TIMEOUT, message),
+    shed: message => new RequestRejection(HTTP_UNAVAILABLE, message, MEMORY_RETRY_SECONDS),
+};
+
+/** Limits that a client has met when its request is rejected. */
+const LIMITS_OF_STATUSES: Readonly<Record<number, ClientLimit>> = {
+    [HTTP_TIMEOUT]: "body progress",
+    [HTTP_TOO_LARGE]: "body size",
+};
 
 /**
  * Chooses the service of a request by weight.
@@ -166,13 +183,54 @@
     const openResponses = new Set<ServerResponse>();
     let exitsAt: number | undefined;
 
+    let timeouts = {
+        idleMilliseconds: DEFAULT_IDLE_MILLISECONDS,
+        headMilliseconds: DEFAULT_HEAD_MILLISECONDS,
+    };
+
+    /** @throws RequestRejection when the body is not read to its end, Error when the caller has left. */
+    const readRequestBody = async (
+        exchange: GuardedExchange,
+        maximumBytes: number,
+        deadline: number,
+        trace: RequestTrace,
+    ): Promise<Buffer> => {
+        const { message, socket } = exchange;
+        if (Number(message.headers["content-length"] ?? 0) > maximumBytes) {
+            throw new RequestRejection(HTTP_TOO_LARGE, `the body is larger than ${maximumBytes} bytes`);
+        }
+        const reader = readBody(message, {
+            maximumBytes,
+            pool: options.clientLimits.pool,
+            onHeld: exchange.holdBody,
+            progressMilliseconds: timeouts.idleMilliseconds,
+            remainingMilliseconds: deadline - clock.now(),
+        });
+        exchange.onShed(() => {
+            trace.add("requests", "Gave up a request, as its memory is needed for others.");
+            if (!reader.cancel("shed", "the memory for requests is exhausted")) {
+                // The request may run at an upstream, so no status may say that it has not.
+                socket.destroy();
+            }
+        });
+        try {
+            return await reader.body;
+        }
+        catch (error) {
+            if (error instanceof BodyError && error.failure !== "aborted") {
+                throw BODY_REJECTIONS[error.failure](error.message);
+            }
+            throw error;
+        }
+    };
+
     const handle = async (
-        message: IncomingMessage,
-        response: ServerResponse,
+        exchange: GuardedExchange,
         head: RequestHead,
         trace: RequestTrace,
         arrivedAt: number,
     ): Promise<RequestEnd & { readonly route?: string }> => {
+        const { message, response, socket } = exchange;
         const table = options.routes();
         const { route, workspace } = matchRoute(table, message, head);
         if (exitsAt !== undefined && !usuallyEndsWithin(route, exitsAt - arrivedAt)) {
@@ -197,14 +255,16 @@
         const callerLeft = new AbortController();
         const leave = (): void => callerLeft.abort();
         // A caller that closes its side of the connection gets no response from Node.js either.
-        message.socket.once("end", leave);
+        socket.once("end", leave);
         response.once("close", () => {
-            message.socket.off("end", leave);
+            socket.off("end", leave);
             if (!response.writableFinished) {
                 leave();
             }
         });
-        const body = await readBody(message, limits.maximumBodyBytes);
+        const callerMilliseconds = head.remainingMilliseconds ?? Infinity;
+        const deadline = arrivedAt + Math.min(callerMilliseconds, route.timeoutMilliseconds);
+        const body = await readRequestBody(exchange, limits.maximumBodyBytes, deadline, trace);
         const end = await options.serve(
             {
                 head,
@@ -218,6 +278,7 @@
                 arrivedAt,
                 trace,
                 callerLeft: callerLeft.signal,
+                onUnread: exchange.holdAnswer,
             },
             response,
         );
@@ -226,12 +287,12 @@
 
     const sendRejection = (
         error: unknown,
-        message: IncomingMessage,
-        response: ServerResponse,
+        { message, response, socket }: GuardedExchange,
         head: RequestHead,
     ): RequestEnd => {
         const base = { attempts: 0, firstByteMilliseconds: undefined };
-        if (message.errored !== null || message.socket.destroyed) {
+        const isAborted = error instanceof BodyError && error.failure === "aborted";
+        if (isAborted || message.errored !== null || socket.destroyed) {
             response.destroy();
             return {
                 ...base,
@@ -243,7 +304,12 @@
         if (!(error instanceof RequestRejection)) {
             throw error;
         }
-        if (!message.complete) {
+        const limit = LIMITS_OF_STATUSES[error.status];
+        if (limit !== undefined) {
+            options.clientLimits.recordLimit(options.name, limit);
+        }
+        const hasRest = !message.complete;
+        if (hasRest) {
             // The rest of the body stays unread, so the connection cannot be reused.
             response.setHeader("connection", "close");
         }
@@ -254,11 +320,13 @@
             error.status,
             error.message,
             error.retryAfterSeconds,
+            hasRest ? (_response, body) => endAfterRest(message, response, body) : undefined,
         );
         return { ...base, outcome: "refused", status: error.status, reason: error.message };
     };
 
-    const listener = (message: IncomingMessage, response: ServerResponse): void => {
+    const serveExchange = (exchange: GuardedExchange): void => {
+        const { message, response } = exchange;
         const arrivedAt = clock.now();
         const head = codec.decodeRequest(message.headers);
         const trace = options.requestLog.begin(head.attemptId ?? "(none)");
@@ -268,9 +336,9 @@
         if (exitsAt !== undefined) {
             response.setHeader("connection", "close");
         }
-        const ended = handle(message, response, head, trace, arrivedAt)
+        const ended = handle(exchange, head, trace, arrivedAt)
             .catch((error: unknown) => ({
-                ...sendRejection(error, message, response, head),
+                ...sendRejection(error, exchange, head),
                 route: undefined,
             }))
             .then(end => {
@@ -294,20 +362,31 @@
                     error: (error as Error).stack ?? String(error),
                 });
                 trace.end(true);
+                options.clientLimits.recordError(options.name, error as Error, head.attemptId);
                 sendRouterResponse(response, codec, head.attemptId, 500, "the node failed");
-            });
-        void Promise.all([ended, closed]).finally(() => openResponses.delete(response));
+            })
+            .catch((error: unknown) => {
+                options.clientLimits.recordError(options.name, error as Error, head.attemptId);
+                response.destroy();
+            })
+            .then(exchange.recordAnswerEnd);
+        void Promise.all([ended, closed]).then(() => openResponses.delete(response));
     };
 
-    const server: Server = createServer(
-        {
-            maxHeaderSize: options.initialHeaderBytes,
-            connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
-            requestTimeout: 0,
-            noDelay: true,
-        },
-        listener,
-    );
+    const server: Server = createServer({
+        maxHeaderSize: options.initialHeaderBytes,
+        connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
+        requestTimeout: 0,
+        noDelay: true,
+    });
+    const guard = options.clientLimits.guard(server, {
+        listener: options.name,
+        maximumConnections: options.maximumConnections,
+        handle: serveExchange,
+        answerMilliseconds: () => timeouts.idleMilliseconds,
+        headMilliseconds: () => timeouts.headMilliseconds,
+        requestIdOf: message => codec.decodeRequest(message.headers).attemptId,
+    });
 
     addListener(options.name, server, options, options.lifecycle);
     options.lifecycle.add({
@@ -319,7 +398,9 @@
     });
 
     return {
-        openRequests: () => openResponses.size,
+        openRequests: () => openResponses.size + guard.waiting(),
+        connections: () => guard.connections(),
+        waitingRequests: () => guard.waiting(),
         startDraining: exitTime => {
             exitsAt = exitTime;
         },
@@ -329,6 +410,10 @@
         },
         closeConnections: () => server.closeAllConnections(),
         applyLimits: (idleTimeoutMilliseconds, headerTimeoutMilliseconds) => {
+            timeouts = {
+                idleMilliseconds: idleTimeoutMilliseconds,
+                headMilliseconds: headerTimeoutMilliseconds,
+            };
             server.keepAliveTimeout = idleTimeoutMilliseconds;
             server.headersTimeout = headerTimeoutMilliseconds + CONNECTION_CHECK_INTERVAL_MILLISECONDS;
         },
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -62,6 +62,12 @@
     readonly arrivedAt: number;
     readonly trace: RequestTrace;
     readonly callerLeft: AbortSignal;
+    /**
+     * Called with the bytes of the answer that the caller has not read, whenever they may have changed.
+     *
+     * @default they are not counted
+     */
+    readonly onUnread?: (bytes: number) => void;
 }
 
 /** Session of a request; a request without one has a key of its own. */
@@ -265,6 +271,7 @@
             encodeHeaders: headers => codec.encodeResponse(withoutRouterMark(headers)),
             lastEventId: head.lastEventId,
             eventFields: codec.eventFields,
+            ...(request.onUnread === undefined ? {} : { onUnread: request.onUnread }),
             onFirstByte: () => {
                 firstByteMilliseconds = clock.now() - request.arrivedAt;
             },
--- a/src/node/forwarding/response-sink.ts
+++ b/src/node/forwarding/response-sink.ts
@@ -57,6 +57,12 @@
     /** Names of fields that events may have beside the standard ones. */
     readonly eventFields: ReadonlySet<string>;
     readonly onFirstByte: () => void;
+    /**
+     * Called with the bytes that the caller has not read, whenever they may have changed.
+     *
+     * @default they are not counted
+     */
+    readonly onUnread?: (bytes: number) => void;
 }
 
 function definedHeaders(headers: OutgoingHttpHeaders): OutgoingHttpHeaders {
@@ -80,7 +86,9 @@
     let hasBegunPlain = false;
     let isChunked = false;
     let drainListener: (() => void) | undefined;
+    const reportUnread = (): void => options.onUnread?.(response.writableLength);
     response.on("drain", () => {
+        reportUnread();
         const listener = drainListener;
         drainListener = undefined;
         listener?.();
@@ -127,7 +135,11 @@
         extractNewEvents: chunk => splitter.push(chunk),
         write: data => {
             beginStreamIfNeeded();
-            return response.write(data);
+            const isTaken = response.write(data);
+            if (!isTaken) {
+                reportUnread();
+            }
+            return isTaken;
         },
         onDrain: listener => {
             drainListener = listener;
@@ -155,6 +167,7 @@
             const length = buffered.isFramed ? { "content-length": buffered.body.length } : {};
             begin(buffered.status, { ...headers, ...length }, buffered.isFramed);
             response.end(buffered.body);
+            reportUnread();
         },
     };
 }
--- a/src/node/forwarding/router-response.ts
+++ b/src/node/forwarding/router-response.ts
@@ -22,7 +22,11 @@
     resetConnection(socket);
 }
 
-/** Sends a response of the router. Closes the connection instead when another response has begun. */
+/**
+ * Sends a response of the router. Closes the connection instead when another response has begun.
+ *
+ * @param end Writes the body and ends the response. @default at once
+ */
 export function sendRouterResponse(
     response: ServerResponse,
     codec: HeaderCodec,
@@ -30,6 +34,7 @@
     status: number,
     message: string,
     retryAfterSeconds?: number,
+    end: (response: ServerResponse, body: string) => void = (_response, body) => response.end(body),
 ): void {
     if (response.headersSent) {
         void abortResponse(response);
@@ -43,5 +48,5 @@
         "content-length": Buffer.byteLength(body),
     };
     response.writeHead(status, headers);
-    response.end(body);
+    end(response, body);
 }
--- a/src/node/metrics/registry.ts
+++ b/src/node/metrics/registry.ts
@@ -2,6 +2,8 @@
 import { createServer } from "node:http";
 import { build } from "hdr-histogram-js";
 import type { Histogram } from "hdr-histogram-js";
+import { guardMonitoring } from "../client-limits/client-limits.js";
+import type { ClientLimits } from "../client-limits/client-limits.js";
 import { addListener } from "../common/listener.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 
@@ -90,8 +92,10 @@
     address: string,
     port: number,
     lifecycle: Lifecycle,
+    clients: { readonly limits: ClientLimits; readonly maximumConnections: number },
 ): void {
-    const server = createServer((_request, response) => {
+    const server = createServer();
+    guardMonitoring(server, "metrics", clients, response => {
         response.setHeader("content-type", "text/plain; version=0.0.4");
         response.end(registry.text());
     });
--- a/src/node/peers/http-peers.ts
+++ b/src/node/peers/http-peers.ts
@@ -12,6 +12,12 @@
 import { sha256 } from "../common/hash.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { TlsSource } from "../common/tls.js";
+import { BodyError, readBody } from "../client-limits/body-reader.js";
+import type { BodyFailure } from "../client-limits/body-reader.js";
+import type { ClientLimits } from "../client-limits/client-limits.js";
+import { closeAfterBody } from "../client-limits/unread-body.js";
+import type { GuardedExchange } from "../client-limits/connection-guard.js";
+import { createSegmentPool } from "../client-limits/segment-pool.js";
 import { PeerError } from "./peers.js";
 import type { PeerHandler, Peers } from "./peers.js";
 
@@ -43,6 +49,8 @@
     readonly key: string;
     /** Certificate of this node, also used to verify peers. Plain HTTP is used when this is absent. */
     readonly tls?: TlsSource;
+    /** @default neither connections nor the memory of messages are bounded */
+    readonly clients?: { readonly limits: ClientLimits; readonly maximumConnections: number };
     readonly lifecycle: Lifecycle;
 }
 
@@ -59,18 +67,20 @@
     readonly calls: number;
 }
 
-async function readBody(message: IncomingMessage): Promise<string> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-        size += chunk.length;
-        if (size > MAXIMUM_MESSAGE_BYTES) {
-            throw new RangeError("message is too large");
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString("utf8");
-}
+/** Time in which a message must make progress, and in which all of it must arrive, milliseconds. */
+const MESSAGE_PROGRESS_MILLISECONDS = 3000;
+const MESSAGE_MILLISECONDS = 10_000;
+
+/** Time for the head of a call, and for an answer to be read, milliseconds. */
+const CALL_HEAD_MILLISECONDS = 3000;
+const ANSWER_MILLISECONDS = 10_000;
+
+const BODY_STATUSES: Readonly<Record<BodyFailure, number>> = {
+    "too-large": 413,
+    "too-slow": 408,
+    shed: 503,
+    aborted: 400,
+};
 
 export function createHttpPeers(options: HttpPeersOptions): HttpPeers {
     const rpc = new JSONRPCServer({ errorListener: () => undefined });
@@ -97,33 +107,78 @@
         return typeof key === "string" && timingSafeEqual(Buffer.from(sha256(key), "hex"), keyDigest);
     };
 
+    const pool = options.clients?.limits.pool ?? createSegmentPool(0);
+
     const respond = (response: ServerResponse, status: number, body: string): void => {
         traffic.sentBytes += body.length;
         response.writeHead(status, { "content-type": "application/json" });
         response.end(body);
     };
 
-    const handleMessage = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const readText = async (
+        message: IncomingMessage,
+        exchange: Pick<GuardedExchange, "holdBody" | "onShed" | "socket"> | undefined,
+    ): Promise<string> => {
+        const reader = readBody(message, {
+            maximumBytes: MAXIMUM_MESSAGE_BYTES,
+            pool,
+            onHeld: bytes => exchange?.holdBody(bytes),
+            progressMilliseconds: MESSAGE_PROGRESS_MILLISECONDS,
+            remainingMilliseconds: MESSAGE_MILLISECONDS,
+        });
+        exchange?.onShed(() => {
+            if (!reader.cancel("shed", "the memory for messages is exhausted")) {
+                exchange.socket.destroy();
+            }
+        });
+        return (await reader.body).toString("utf8");
+    };
+
+    const handleMessage = async (
+        message: IncomingMessage,
+        response: ServerResponse,
+        exchange: GuardedExchange | undefined,
+    ): Promise<void> => {
         if (!isAuthenticated(message)) {
+            closeAfterBody(message, response);
             respond(response, 401, '{"error":"the peer key is missing or wrong"}');
             return;
         }
         let parsed: unknown;
         try {
-            const body = await readBody(message);
+            const body = await readText(message, exchange);
             traffic.receivedBytes += body.length;
             parsed = JSON.parse(body);
         }
         catch (error) {
-            respond(response, 400, JSON.stringify({ error: (error as Error).message }));
+            const status = error instanceof BodyError ? BODY_STATUSES[error.failure] : 400;
+            closeAfterBody(message, response);
+            respond(response, status, JSON.stringify({ error: (error as Error).message }));
             return;
         }
         const result = await rpc.receive(parsed as JSONRPCRequest);
         respond(response, 200, JSON.stringify(result ?? {}));
     };
 
-    const listener = (message: IncomingMessage, response: ServerResponse): void => {
-        handleMessage(message, response).catch(() => response.destroy());
+    const listen = (server: Server): void => {
+        const { clients } = options;
+        if (clients === undefined) {
+            server.on("request", (message: IncomingMessage, response: ServerResponse) => {
+                handleMessage(message, response, undefined).catch(() => response.destroy());
+            });
+            return;
+        }
+        clients.limits.guard(server, {
+            listener: "peers",
+            maximumConnections: clients.maximumConnections,
+            answerMilliseconds: () => ANSWER_MILLISECONDS,
+            headMilliseconds: () => CALL_HEAD_MILLISECONDS,
+            handle: exchange => {
+                handleMessage(exchange.message, exchange.response, exchange)
+                    .catch(() => exchange.response.destroy())
+                    .then(exchange.recordAnswerEnd, () => undefined);
+            },
+        });
     };
 
     options.lifecycle.add({
@@ -131,11 +186,13 @@
         start: async () => {
             const server: Server =
                 options.tls === undefined
-                    ? createServer(listener)
-                    : createTlsServer(
-                          { ...options.tls.current(), requestCert: true, rejectUnauthorized: true },
-                          listener,
-                      );
+                    ? createServer()
+                    : createTlsServer({
+                          ...options.tls.current(),
+                          requestCert: true,
+                          rejectUnauthorized: true,
+                      });
+            listen(server);
             options.tls?.onChange(() => {
                 (server as ReturnType<typeof createTlsServer>).setSecureContext(options.tls!.current());
                 const previousAgent = agent;
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -2,6 +2,10 @@
  * Composes a router node from its components: replicated state, routing decisions, listeners and shutdown.
  */
 import { createServer } from "node:http";
+import { getHeapStatistics } from "node:v8";
+import { createClientLimits, guardMonitoring, registerLimitMetrics } from "../client-limits/client-limits.js";
+import type { ClientLimits } from "../client-limits/client-limits.js";
+import { resolveClientLimits } from "../client-limits/resolve-limits.js";
 import { delay, systemClock } from "../common/clock.js";
 import { hashToUnit } from "../common/hash.js";
 import { addListener } from "../common/listener.js";
@@ -85,8 +89,14 @@
 
 const STDOUT_DESCRIPTOR = 1;
 
-function serveReadiness(listen: string, isReady: () => boolean, lifecycle: Lifecycle): void {
-    const server = createServer((_request, response) => {
+function serveReadiness(
+    listen: string,
+    isReady: () => boolean,
+    lifecycle: Lifecycle,
+    clients: { readonly limits: ClientLimits; readonly maximumConnections: number },
+): void {
+    const server = createServer();
+    guardMonitoring(server, "readiness", clients, response => {
         response.statusCode = isReady() ? 200 : 503;
         response.end();
     });
@@ -113,6 +123,13 @@
         notableLinesPerSecond: config.logging.failureLinesPerSecond,
     });
     const metrics = createMetricsRegistry();
+    const resolvedLimits = resolveClientLimits(config.limits, getHeapStatistics().heap_size_limit);
+    const clientLimits = createClientLimits({
+        heldBytes: resolvedLimits.heldBytes,
+        clock,
+        logger: createLogger("clients"),
+    });
+    const monitoring = { limits: clientLimits, maximumConnections: resolvedLimits.monitoringConnections };
     const replicas = {
         configuration: createRowReplica((...rows) => adapter.compareAge("configuration", ...rows)),
         runners: createRowReplica((...rows) => adapter.compareAge("runners", ...rows)),
@@ -123,7 +140,12 @@
 
     const send = createHttpSend(lifecycle);
     const peersEndpoint = splitEndpoint(config.peers.listen);
-    const peers = createHttpPeers({ ...peersEndpoint, key: "", lifecycle });
+    const peers = createHttpPeers({
+        ...peersEndpoint,
+        key: "",
+        clients: { limits: clientLimits, maximumConnections: resolvedLimits.peerConnections },
+        lifecycle,
+    });
 
     const exchange = createRowExchange({
         peers,
@@ -448,6 +470,8 @@
             config.handover === undefined ? forwarderOptions : { ...forwarderOptions, handover },
         ),
         requestLog,
+        clientLimits,
+        maximumConnections: resolvedLimits.callerConnections,
         lifecycle,
         splitPositionOf,
         onEnd: (end, route, milliseconds) => {
@@ -473,6 +497,8 @@
                   routes: () => operators.routes(),
                   serve: createRequestForwarder({ ...forwarderOptions, codec: helperCodec }),
                   requestLog,
+                  clientLimits,
+                  maximumConnections: resolvedLimits.handoverConnections,
                   lifecycle,
                   splitPositionOf,
                   onEnd: () => {
@@ -484,8 +510,9 @@
 
     const isReady = (): boolean =>
         !stopping && operators.routes() !== undefined && replicas.runners.revision > 0;
-    serveReadiness(config.readiness.listen, isReady, lifecycle);
-    serveMetrics(metrics, config.metrics.address, config.metrics.port, lifecycle);
+    serveReadiness(config.readiness.listen, isReady, lifecycle, monitoring);
+    serveMetrics(metrics, config.metrics.address, config.metrics.port, lifecycle, monitoring);
+    registerLimitMetrics(metrics, clientLimits, servers);
     metrics.gauge("open_requests", countOpenRequests);
     metrics.gauge("handovers_total", () => handovers);
     metrics.gauge("helped_requests_total", () => helpedRequests);
