--- a/src/node/forwarding/__tests__/untrusted-requests.spec.ts
+++ b/src/node/forwarding/__tests__/untrusted-requests.spec.ts
@@ -280,7 +280,7 @@
         onServe: async () => {
             running += 1;
             most = Math.max(most, running);
-            await delay(1);
+            await new Promise(resolve => setImmediate(resolve));
             running -= 1;
         },
     });
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -3,7 +3,7 @@
  * and reports whether the request was served, did not run, or may have run.
  */
 import type { IncomingHttpHeaders } from "node:http";
-import type { UpstreamExchange, UpstreamRequest, UpstreamSend } from "../upstreams/send.js";
+import type { UpstreamExchange, UpstreamHandlers, UpstreamRequest, UpstreamSend } from "../upstreams/send.js";
 import type { ResponseSink } from "./response-sink.js";
 import type { ResponseHead } from "./protocol.js";
 
@@ -103,6 +103,12 @@
     readonly onHead?: (head: ResponseHead, status: number, isFramed: boolean) => void;
     /** New events of a stream arrived; `isFirst` is true for the first of the attempt. */
     readonly onEvents?: (isFirst: boolean) => void;
+    /**
+     * An internal error ended the attempt.
+     *
+     * @default only the result of the attempt says so
+     */
+    readonly onError?: (error: Error) => void;
 }
 
 /**
@@ -197,9 +203,27 @@
         /** Closes the connection, so that the upstream stops running the request. */
         const cancel = (result: AttemptResult): void => {
             finish(result);
-            exchange?.cancel();
+            try {
+                exchange?.cancel();
+            }
+            catch (error) {
+                options.onError?.(error as Error);
+            }
         };
 
+        /** Ends the attempt when one of its handlers fails. Uncaught, the error would end the process. */
+        const guarded =
+            <Arguments extends readonly unknown[]>(handler: (...args: Arguments) => void) =>
+            (...args: Arguments): void => {
+                try {
+                    handler(...args);
+                }
+                catch (error) {
+                    options.onError?.(error as Error);
+                    cancel({ kind: "lost", reason: `internal error: ${(error as Error).message}` });
+                }
+            };
+
         function onCallerLeft(): void {
             cancel({ kind: "ended", reason: "caller left" });
         }
@@ -236,10 +260,12 @@
             if (!sink.write(data)) {
                 clearTimeout(gapTimer);
                 exchange?.pause();
-                sink.onDrain(() => {
-                    exchange?.resume();
-                    restartGapTimer();
-                });
+                sink.onDrain(
+                    guarded(() => {
+                        exchange?.resume();
+                        restartGapTimer();
+                    }),
+                );
             }
         };
 
@@ -376,7 +402,12 @@
                     // The answer is here: neither its deadline nor a pause may replace its result meanwhile.
                     timers.forEach(clearTimeout);
                     clearTimeout(gapTimer);
-                    void resultOfUnframedEnd().then(finish);
+                    resultOfUnframedEnd().then(
+                        finish,
+                        guarded((error: unknown) => {
+                            throw error;
+                        }),
+                    );
                 }
                 else if (sink.endStream()) {
                     finish({ kind: "delivered", status });
@@ -425,8 +456,8 @@
         options.callerLeft.addEventListener("abort", onCallerLeft);
         options.withdrawn?.addEventListener("abort", onWithdrawn);
 
-        exchange = options.send(options.request, {
-            onStart: () => {
+        const handlers: UpstreamHandlers = {
+            onStart: guarded(() => {
                 started = true;
                 clearTimeout(connectTimer);
                 if (options.headMilliseconds !== undefined) {
@@ -435,12 +466,16 @@
                         reason: "no answer in time",
                     }));
                 }
-            },
-            onHead,
-            onChunk,
-            onEnd,
-            onFailure: (verdict, reason, isBrokenOff) =>
+            }),
+            onHead: guarded(onHead),
+            onChunk: guarded(onChunk),
+            onEnd: guarded(onEnd),
+            onFailure: guarded((verdict, reason, isBrokenOff) =>
                 onFailure(started ? "may-have-run" : verdict, reason, isBrokenOff),
-        });
+            ),
+        };
+        guarded(() => {
+            exchange = options.send(options.request, handlers);
+        })();
     });
 }
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -160,6 +160,12 @@
         outcome: AnswerOutcome,
         timing: AttemptTiming,
     ) => void;
+    /**
+     * Records an internal error that ended an attempt.
+     *
+     * @default only the log of the request has it
+     */
+    readonly recordError?: (error: Error, request: string | undefined) => void;
 }
 
 /** Connection timeout, milliseconds: many round trips within a region. */
@@ -422,6 +428,7 @@
                 sink,
                 decodeHead: (status, headers) => codec.decodeResponse(status, headers),
                 tryEscalate,
+                onError: error => options.recordError?.(error, head.attemptId),
                 connectMilliseconds: CONNECT_MILLISECONDS,
                 headMilliseconds: hasTimeouts
                     ? route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO
@@ -679,6 +686,7 @@
                 decodeHead: (status, headers) => decodeHelperResponse(codec, status, headers),
                 // The helper has chosen the model.
                 tryEscalate: () => false,
+                onError: error => options.recordError?.(error, head.attemptId),
                 connectMilliseconds: CONNECT_MILLISECONDS,
                 headMilliseconds: undefined,
                 gapMilliseconds: undefined,
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -444,6 +444,7 @@
         },
         nodeCount: () => nodes.count(),
         recordLeaving: upstream => upstreams.recordLeaving(upstream),
+        recordError: (error, request) => clientLimits.recordError("upstreams", error, request),
         recordUnanswered: ({ entry }) => reachability.recordFailure(entry.address),
     };
     let handovers = 0;
