--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -65,6 +65,12 @@
     readonly arrivedAt: number;
     readonly trace: RequestTrace;
     readonly callerLeft: AbortSignal;
+    /**
+     * Called with the bytes of the answer that the caller has not read, whenever they may have changed.
+     *
+     * @default they are not counted
+     */
+    readonly onUnread?: (bytes: number) => void;
 }
 
 /** Session of a request; a request without one has a key of its own. */
@@ -161,6 +167,12 @@
         outcome: AnswerOutcome,
         timing: AttemptTiming,
     ) => void;
+    /**
+     * Records an internal error that ended an attempt.
+     *
+     * @default only the log of the request has it
+     */
+    readonly recordError?: (error: Error, request: string | undefined) => void;
 }
 
 /** Connection timeout, milliseconds: many round trips within a region. */
@@ -276,6 +288,7 @@
             encodeHeaders: headers => codec.encodeResponse(withoutRouterMark(headers)),
             lastEventId: route.resumable ? head.lastEventId : undefined,
             eventFields: codec.eventFields,
+            ...(request.onUnread === undefined ? {} : { onUnread: request.onUnread }),
             onFirstByte: () => {
                 firstByteMilliseconds = clock.now() - request.arrivedAt;
             },
@@ -463,6 +476,7 @@
                 tryEscalate,
                 connectMilliseconds:
                     options.scarcity?.connectMilliseconds(route, service) ?? CONNECT_MILLISECONDS,
+                onError: error => options.recordError?.(error, head.attemptId),
                 headMilliseconds: hasTimeouts
                     ? (scarceAttempt?.headMilliseconds(usualHeadMilliseconds, deadline - sentAt) ??
                       usualHeadMilliseconds)
@@ -733,6 +747,7 @@
                 decodeHead: (status, headers) => decodeHelperResponse(codec, status, headers),
                 // The helper has chosen the model.
                 tryEscalate: () => false,
+                onError: error => options.recordError?.(error, head.attemptId),
                 connectMilliseconds: CONNECT_MILLISECONDS,
                 headMilliseconds: undefined,
                 gapMilliseconds: undefined,
