--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -324,6 +324,7 @@
     const scarcity =
         config.scarcity.enabled === true
             ? createScarcity({
+                  sendsPriorities: config.scarcity.sendPriorities,
                   clock,
                   random,
                   loads,
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -119,6 +119,8 @@
         z.strictObject({
             /** Orders requests by priority and rejects those that cannot be answered in time. @default false */
             enabled: z.optional(z.boolean()),
+            /** Tells engines the priority of requests. @default true */
+            sendPriorities: z._default(z.boolean(), true),
         }),
         {},
     ),
--- a/src/node/scarcity/__tests__/forwarding.spec.ts
+++ b/src/node/scarcity/__tests__/forwarding.spec.ts
@@ -10,6 +10,7 @@
 function withScarcity(defaults: RequestForwarderOptions): Partial<RequestForwarderOptions> {
     return {
         scarcity: createScarcity({
+            sendsPriorities: true,
             clock: systemClock,
             random: Math.random,
             loads: defaults.loads,
--- a/src/node/scarcity/__tests__/many-nodes.spec.ts
+++ b/src/node/scarcity/__tests__/many-nodes.spec.ts
@@ -98,6 +98,7 @@
         const loads = createLoadBoard();
         const upstreams = engines.map((_, index) => createTestUpstream(`${index}`, { slots: load.slots }));
         const scarcity = createScarcity({
+            sendsPriorities: true,
             clock,
             random,
             loads,
--- a/src/node/scarcity/__tests__/scarcity.spec.ts
+++ b/src/node/scarcity/__tests__/scarcity.spec.ts
@@ -59,6 +59,7 @@
     );
     const suspected: string[] = [];
     const scarcity = createScarcity({
+        sendsPriorities: true,
         clock,
         random: () => 0.5,
         loads,
--- a/src/node/scarcity/scarcity.ts
+++ b/src/node/scarcity/scarcity.ts
@@ -96,6 +96,8 @@
 }
 
 export interface ScarcityOptions {
+    /** Whether engines are told the priority of requests. */
+    readonly sendsPriorities: boolean;
     readonly clock: Clock;
     readonly random: Random;
     readonly loads: Pick<LoadBoard, "total" | "ejections" | "revision">;
@@ -510,7 +512,7 @@
 
     return {
         enginePriorityOf: ({ route, service, workspace }) =>
-            service.engineTokens === undefined
+            service.engineTokens === undefined || !options.sendsPriorities
                 ? undefined
                 : enginePriorityOf(urgencyOf(workspace?.priority, route.priority)),
         open,
