Suspect no upstream while the node itself was held up

Cause: on a small VM a timer may fire before an answer that has arrived is read, so the upstream would seem hung to this node and, by its report, to all others.

Change: sockets are read once more before an upstream becomes suspect, and a timer that fires more than 50 ms late makes none suspect. The load of an upstream is summed once for a choice, not for each question about it.

Result: a test over simulated time.

--- a/src/node/scarcity/__tests__/scarcity.spec.ts
+++ b/src/node/scarcity/__tests__/scarcity.spec.ts
@@ -253,6 +253,17 @@
     assert.deepEqual(fixture.suspected, []);
 });
 
+test("a node that was held up itself takes no upstream for hung", async context => {
+    const fixture = createFixture(context, 2);
+    const route = { targetLatencyMilliseconds: 149 };
+    const { exchange } = fixture.open({ service: DESK, route });
+    const attempt = exchange.begin(fixture.upstreams[0]!);
+    context.mock.timers.setTime(Date.now() + 300);
+    await fixture.pass(20);
+    attempt.end({ kind: "not-run", reason: "no connection in time", isUnreached: true });
+    assert.deepEqual(fixture.suspected, []);
+});
+
 test("a node to which most upstreams look hung takes none from the others", async context => {
     const fixture = createFixture(context, 3);
     const route = { targetLatencyMilliseconds: 149 };
--- a/src/node/scarcity/admission.ts
+++ b/src/node/scarcity/admission.ts
@@ -22,8 +22,8 @@
     readonly state: "usable" | "full" | "down";
 }
 
-/** What a request needs. */
-export interface RequestNeeds {
+/** What a request needs of an upstream. */
+export interface RequestSize {
     /** The service runs models. */
     readonly isModel: boolean;
     readonly promptTokens: number;
@@ -31,6 +31,10 @@
     readonly neededTokens: number;
     /** Memory of one upstream, in tokens; `undefined` when memory does not limit it. */
     readonly capacityTokens: number | undefined;
+}
+
+/** What a request needs now. */
+export interface RequestNeeds extends RequestSize {
     /** Time until the target latency, negative after it, milliseconds. */
     readonly targetMilliseconds: number;
     /** Time until the deadline, milliseconds. */
@@ -88,7 +92,7 @@
 const MAXIMUM_RETRY_AFTER_SECONDS = 2;
 
 /** Whether the upstream can begin the request at once, by what the node knows. */
-export function isFree(upstream: UpstreamCapacity, needs: RequestNeeds): boolean {
+export function isFree(upstream: UpstreamCapacity, needs: RequestSize): boolean {
     const surplus = Math.ceil(upstream.slots * (needs.isModel ? ENGINE_SURPLUS : PLAIN_SURPLUS));
     const hasMemory =
         needs.capacityTokens === undefined ||
--- a/src/node/scarcity/scarcity.ts
+++ b/src/node/scarcity/scarcity.ts
@@ -4,6 +4,7 @@
  * `waiting-requests.ts` and `suspect-upstreams.ts`.
  */
 import { createBoundedMap } from "../common/bounded-map.js";
+import { nextPoll } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
 import type { AttemptResult } from "../forwarding/attempt.js";
@@ -21,7 +22,7 @@
     retryAfterSeconds,
     yieldsToOthers,
 } from "./admission.js";
-import type { AdmissionContext, RequestNeeds, UpstreamCapacity } from "./admission.js";
+import type { AdmissionContext, RequestNeeds, RequestSize, UpstreamCapacity } from "./admission.js";
 import { restrictChoice } from "./restricted-choice.js";
 import type { AcceptUpstream } from "./restricted-choice.js";
 import { createServiceLoad } from "./service-load.js";
@@ -133,8 +134,8 @@
 /** Interval at which waiting requests are reconsidered, milliseconds. A fraction of the time between reports. */
 const RECONSIDER_MILLISECONDS = 25;
 
-/** Time for which the load of an upstream is not summed again, milliseconds. */
-const TOTALS_VALIDITY_MILLISECONDS = 5;
+/** Time for which the load of an upstream is not summed again, milliseconds. Reports change it every 100 ms. */
+const TOTALS_VALIDITY_MILLISECONDS = 20;
 
 /** Bounds of what waits at a node, over all services. */
 const MAXIMUM_WAITING_REQUESTS = 512;
@@ -146,6 +147,9 @@
 /** Time without an answer after which an upstream counts as hung, relative to the target latency. */
 const HANG_RATIO = 1.5;
 
+/** Delay of a timer above which the node itself was held up, milliseconds. */
+const HELD_UP_MILLISECONDS = 50;
+
 /** Initial residence relative to the target latency, until requests have been seen. */
 const PLAIN_RESIDENCE_RATIO = 0.5;
 const ENGINE_RESIDENCE_RATIO = 2;
@@ -170,6 +174,18 @@
 /** Workspace of requests without one. */
 const NO_WORKSPACE = "";
 
+function connectMilliseconds(
+    { targetLatencyMilliseconds }: Route,
+    { engineTokens }: Service,
+): number | undefined {
+    return engineTokens === undefined
+        ? Math.min(
+              LONGEST_CONNECT_MILLISECONDS,
+              Math.max(SHORTEST_CONNECT_MILLISECONDS, targetLatencyMilliseconds),
+          )
+        : undefined;
+}
+
 export function createScarcity(options: ScarcityOptions): Scarcity {
     const { clock, random } = options;
     const services = createBoundedMap<ServiceState>(MAXIMUM_SERVICES);
@@ -234,8 +250,11 @@
     ): UpstreamCapacity => {
         const now = clock.now();
         const isFull = upstream.health.isPaused(now) || state.load.isFull(upstream.process, now);
+        const { requests, heldTokens, pendingTokens } = totalOf(upstream.entry.id, now);
         return {
-            ...totalOf(upstream.entry.id, now),
+            requests,
+            heldTokens,
+            pendingTokens,
             slots: upstream.entry.slots >= 1 ? Math.floor(upstream.entry.slots) : state.usualSlots,
             state: isDown(upstream, state.isModel, runsOnce) ? "down" : isFull ? "full" : "usable",
         };
@@ -300,17 +319,19 @@
         const urgency = urgencyOf(request.workspace?.priority, route.priority);
         const workspace = request.workspace?.name ?? NO_WORKSPACE;
         const targetAt = request.arrivedAt + route.targetLatencyMilliseconds;
-        const needsNow = (): RequestNeeds => ({
+        const size: RequestSize = {
             isModel: state.isModel,
             promptTokens,
             neededTokens,
             capacityTokens: service.engineTokens,
+        };
+        const needsNow = (): RequestNeeds => ({
+            ...size,
             targetMilliseconds: targetAt - clock.now(),
             remainingMilliseconds: deadline - clock.now(),
         });
         const isUsable: AcceptUpstream = upstream => capacityOf(state, upstream, runsOnce).state === "usable";
-        const hasFreeSlot: AcceptUpstream = upstream =>
-            isFree(capacityOf(state, upstream, runsOnce), needsNow());
+        const hasFreeSlot: AcceptUpstream = upstream => isFree(capacityOf(state, upstream, runsOnce), size);
 
         const chooseAmong = (choose: Choose, accepts: AcceptUpstream): Choice | undefined => {
             const choice = choose(accepts);
@@ -414,11 +435,21 @@
 
         return {
             restrict: (context, accepts) => {
-                const avoiding: ChoiceContext = {
-                    ...context,
-                    ejectionsOf: upstream =>
-                        isDown(upstream, state.isModel, runsOnce) ? Infinity : context.ejectionsOf(upstream),
+                // The choice asks several times, and each sum is over the reports of all nodes.
+                const ejections = new Map<string, number>();
+                const ejectionsOf: ChoiceContext["ejectionsOf"] = upstream => {
+                    const known = ejections.get(upstream.entry.id);
+                    if (known !== undefined) {
+                        return known;
+                    }
+                    const count = isDown(upstream, state.isModel, runsOnce)
+                        ? Infinity
+                        : context.ejectionsOf(upstream);
+                    ejections.set(upstream.entry.id, count);
+                    return count;
                 };
+                const loadOf: ChoiceContext["loadOf"] = ({ entry }) => totalOf(entry.id, context.now);
+                const avoiding: ChoiceContext = { ...context, ejectionsOf, loadOf };
                 return accepts === undefined
                     ? avoiding
                     : restrictChoice(avoiding, accepts, options.upstreamsOf(state.name));
@@ -457,14 +488,22 @@
                 const queue = queueMilliseconds(capacity, load.residenceMilliseconds());
                 const hangMilliseconds = HANG_RATIO * route.targetLatencyMilliseconds + queue;
                 let hasHead = false;
+                /** Whether this node noticed the end of the time late, so that it may not have read an answer. */
+                const wasHeldUp = (milliseconds: number): boolean =>
+                    clock.now() - sentAt > milliseconds + HELD_UP_MILLISECONDS;
                 load.ownRequests += 1;
                 const hangTimer = state.isModel
                     ? undefined
                     : setTimeout(() => {
                           // An upstream that answers others is slow, not hung.
                           const aliveSince = clock.now() - route.targetLatencyMilliseconds;
-                          if ((suspects.answeredAt(process) ?? -Infinity) < aliveSince) {
-                              suspect(upstream);
+                          const isAlive = (suspects.answeredAt(process) ?? -Infinity) >= aliveSince;
+                          if (!isAlive && !wasHeldUp(hangMilliseconds)) {
+                              void nextPoll().then(() => {
+                                  if (!hasHead) {
+                                      suspect(upstream);
+                                  }
+                              });
                           }
                       }, hangMilliseconds);
                 return {
@@ -486,13 +525,24 @@
                         load.ownRequests -= 1;
                         if (result.kind === "not-run") {
                             if (result.isUnreached === true) {
-                                suspect(upstream);
+                                if (
+                                    !wasHeldUp(
+                                        connectMilliseconds(route, service) ?? LONGEST_CONNECT_MILLISECONDS,
+                                    )
+                                ) {
+                                    suspect(upstream);
+                                }
                             }
                             else if (result.status !== HTTP_MISDIRECTED) {
                                 load.recordFull(process, now);
                             }
                         }
-                        else if (result.kind === "lost" && !hasHead && !state.isModel) {
+                        else if (
+                            result.kind === "lost" &&
+                            result.isBrokenOff === true &&
+                            !hasHead &&
+                            !state.isModel
+                        ) {
                             suspect(upstream);
                         }
                         else if (hasHead) {
@@ -516,13 +566,7 @@
                 ? undefined
                 : enginePriorityOf(urgencyOf(workspace?.priority, route.priority)),
         open,
-        connectMilliseconds: ({ targetLatencyMilliseconds }, { engineTokens }) =>
-            engineTokens === undefined
-                ? Math.min(
-                      LONGEST_CONNECT_MILLISECONDS,
-                      Math.max(SHORTEST_CONNECT_MILLISECONDS, targetLatencyMilliseconds),
-                  )
-                : undefined,
+        connectMilliseconds,
         suspects: () => {
             // Reports are sent ten times a second, and there is usually nothing to report.
             if (clock.now() - suspectedAt > LONGEST_SUSPICION_MILLISECONDS) {
