--- a/src/node/forwarding/__tests__/untrusted-requests.spec.ts
+++ b/src/node/forwarding/__tests__/untrusted-requests.spec.ts
@@ -32,6 +32,7 @@
     maximumAttempts: 1,
     public: true,
     resumable: false,
+    priority: 0,
     models: [],
 };
 
@@ -83,7 +84,13 @@
         services: new Map([
             [
                 "desk",
-                { name: "desk", coldRequestsPerSecond: 0, engineTokens: undefined, modelCosts: new Map() },
+                {
+                    name: "desk",
+                    coldRequestsPerSecond: 0,
+                    engineTokens: undefined,
+                    slots: undefined,
+                    modelCosts: new Map(),
+                },
             ],
         ]),
         workspaces: undefined,
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -359,6 +359,7 @@
         config.scarcity.enabled === true
             ? createScarcity({
                   node: config.node.id,
+                  sendsPriorities: config.scarcity.sendPriorities,
                   clock,
                   random,
                   loads,
--- a/src/node/scarcity/__tests__/forwarding.spec.ts
+++ b/src/node/scarcity/__tests__/forwarding.spec.ts
@@ -11,6 +11,7 @@
     return {
         scarcity: createScarcity({
             node: "n1",
+            sendsPriorities: true,
             clock: systemClock,
             random: Math.random,
             loads: defaults.loads,
--- a/src/node/scarcity/__tests__/many-nodes.spec.ts
+++ b/src/node/scarcity/__tests__/many-nodes.spec.ts
@@ -101,6 +101,7 @@
         );
         const scarcity = createScarcity({
             node: `${index}`,
+            sendsPriorities: true,
             clock,
             random,
             loads,
