Place requests of plain services by average load

Cause: a plain service works 21 to 86 ms on a request, and loads of other nodes are up to 0.5 s old: what they count has ended. Nodes that follow them send all requests to one upstream in turns, with and without a preference for the own data centre.

Change: with learnSpeeds, the delay at a plain upstream follows from the average number of its requests over 2 s, its learnt time of work and its slots. Requests that leave are spread by a random delay. The leaving share has one band for all target latencies, as the narrower one for short targets made it oscillate.

--- a/src/node/upstream-table/__tests__/data-centre-choice.spec.ts
+++ b/src/node/upstream-table/__tests__/data-centre-choice.spec.ts
@@ -28,6 +28,7 @@
         crossingBytes: crossingBytes(12_000, 100),
         prices: DEFAULT_PRICES,
         prefix: { ownRequests: 20, allRequests: 80, upstreams: 1 },
+        spreadMilliseconds: 0,
         mayLeave: ({ ownDelay, otherDelay }) => otherDelay < ownDelay,
         ...overrides,
     };
--- a/src/node/upstream-table/__tests__/placement-plays.spec.ts
+++ b/src/node/upstream-table/__tests__/placement-plays.spec.ts
@@ -7,6 +7,7 @@
 import { test } from "node:test";
 import { DATA_CENTRES, play, priceOf, shareOf, TARGET_MILLISECONDS } from "./placement-play.js";
 import type { DataCentre, PlayedRequest, PlayOptions } from "./placement-play.js";
+import { playPlain } from "./plain-play.js";
 
 const BY_LOAD_ALONE = { prefersOwn: false, learnsSpeeds: false } as const;
 
@@ -129,3 +130,27 @@
     }
     assert.equal(shareOf(placed, isLate), 0);
 });
+
+// Loads that are older than the requests that they count made all nodes choose the same upstream in turns.
+test("requests of a plain service stay, and what exceeds the own upstream leaves in time", () => {
+    const common = { seed: 4, nodesPerDataCentre: 18, reportMilliseconds: 500 };
+    const even = { ...common, rate: () => 70 };
+    const placed = playPlain(even);
+    assert.ok(placed.late < 0.01 && placed.left < 0.05, JSON.stringify(placed));
+    assert.ok(playPlain({ ...even, byLoadAlone: true }).late > 0.1);
+    const uneven = playPlain({ ...common, rate: dataCentre => (dataCentre === "a" ? 150 : 50) });
+    assert.ok(uneven.late < 0.03 && uneven.left > 0.15 && uneven.left < 0.35, JSON.stringify(uneven));
+});
+
+test("requests of a plain service leave a slow upstream and follow callers that move", () => {
+    const common = { seed: 4, nodesPerDataCentre: 5, reportMilliseconds: 100 };
+    const slow = { ...common, rate: () => 50, speedOf: (id: string) => (id === "a" ? 0.4 : 1) };
+    const placed = playPlain(slow);
+    assert.ok(placed.late < 0.02, JSON.stringify(placed));
+    assert.ok(placed.late < playPlain({ ...slow, byLoadAlone: true }).late / 2);
+    const moved = playPlain({
+        ...common,
+        rate: (dataCentre, second) => (dataCentre === "a" && second >= 8 ? 150 : 40),
+    });
+    assert.ok(moved.late < 0.04, JSON.stringify(moved));
+});
--- a/src/node/upstream-table/data-centre-choice.ts
+++ b/src/node/upstream-table/data-centre-choice.ts
@@ -31,6 +31,11 @@
     readonly crossingBytes: number;
     readonly prices: PlacementPrices;
     readonly prefix: PrefixDemand;
+    /**
+     * Maximum random delay of upstreams elsewhere, milliseconds. Spreads the requests that leave over upstreams whose
+     * loads are too old to tell them apart.
+     */
+    readonly spreadMilliseconds: number;
     /** Whether a request leaves because of the load of the own upstreams. */
     readonly mayLeave: (demand: SpilloverDemand) => boolean;
 }
@@ -160,7 +165,10 @@
         const crosses = !isOwn(upstream);
         const bytes =
             (crosses && hasFitOwn ? view.crossingBytes : 0) + unreadTokens * view.prices.promptTokenBytes;
-        const delay = work + jitter + (crosses ? ROUND_TRIP_MILLISECONDS : 0);
+        const delay =
+            work +
+            jitter +
+            (crosses ? ROUND_TRIP_MILLISECONDS + context.random() * view.spreadMilliseconds : 0);
         const priced = delayWithPrice(delay, bytes, view.targetLatencyMilliseconds, view.prices);
         return {
             upstream,
--- a/src/node/upstream-table/expected-work.ts
+++ b/src/node/upstream-table/expected-work.ts
@@ -15,11 +15,19 @@
 /** Steps for which a request occupies a slot of an engine. */
 const STEPS_PER_REQUEST = 100;
 
+/** Delay that one request in flight adds to another of a plain service while there are slots, milliseconds. */
+const PLAIN_REQUEST_DELAY_MILLISECONDS = 1;
+
+/** Average share of occupied slots of a plain service above which requests have to wait. */
+const FREE_SLOT_SHARE = 0.7;
+
 /** Requests behind a speed from which a slow upstream is known by it, and not by its recent answers. */
 const LEARNT_REQUESTS = 5;
 
 export interface WorkInputs {
     readonly load: Load;
+    /** Average number of requests in flight at the upstream; used for plain services. */
+    readonly averageRequests: number;
     /** Prompt tokens of the shared prefix that the upstream must process. */
     readonly unreadTokens: number;
     /** Prompt tokens of the request that are not shared. */
@@ -35,37 +43,38 @@
     return unreadTokens / TOKENS_PER_MILLISECOND + load.requests * REQUEST_DELAY_MILLISECONDS;
 }
 
-function engineWork(inputs: WorkInputs, speed: UpstreamSpeed, requestsWithoutSlot: number): number {
+function engineWork(inputs: WorkInputs, speed: UpstreamSpeed): number {
     const { load, unreadTokens, ownTokens, slots } = inputs;
+    const requestsWithoutSlot = slots > 0 ? Math.max(0, load.requests + 1 - slots) : 0;
     const tokens = load.pendingTokens + unreadTokens + ownTokens;
     const step = stepMilliseconds(load.requests) * speed.stepRatio;
     return (
         tokens / (speed.promptTokensPerMillisecond ?? TOKENS_PER_MILLISECOND) +
         step +
         load.requests * REQUEST_DELAY_MILLISECONDS * speed.relativeStep +
-        (requestsWithoutSlot * STEPS_PER_REQUEST * step) / slots
+        (requestsWithoutSlot === 0 ? 0 : (requestsWithoutSlot * STEPS_PER_REQUEST * step) / slots)
     );
 }
 
-function plainWork({ load, slots }: WorkInputs, speed: UpstreamSpeed, requestsWithoutSlot: number): number {
+function plainWork({ averageRequests, slots }: WorkInputs, speed: UpstreamSpeed): number {
     const work = speed.workMilliseconds ?? 0;
     const median = speed.medianWorkMilliseconds ?? work;
     const ratio = median > 0 ? work / median : 1;
+    const excess = slots > 0 ? Math.max(0, averageRequests - FREE_SLOT_SHARE * slots) / slots : 0;
     return (
-        load.requests * REQUEST_DELAY_MILLISECONDS * ratio +
+        averageRequests * PLAIN_REQUEST_DELAY_MILLISECONDS * ratio +
         Math.max(0, work - median) +
-        (requestsWithoutSlot * work) / slots
+        excess * work
     );
 }
 
 /** Time for the work before the request, milliseconds; as for a fixed speed while the service is unknown. */
 export function expectedWork(inputs: WorkInputs, speed: UpstreamSpeed): number {
-    const { load, unreadTokens, slots, isEngine } = inputs;
+    const { load, unreadTokens, isEngine } = inputs;
     const isKnown = (isEngine ? speed.promptTokensPerMillisecond : speed.workMilliseconds) !== undefined;
     const slowness = speed.requests >= LEARNT_REQUESTS ? 1 : Math.max(1, inputs.slowness);
     if (!isKnown) {
         return workAtFixedSpeed(load, load.pendingTokens + unreadTokens) * Math.max(1, inputs.slowness);
     }
-    const requestsWithoutSlot = slots > 0 ? Math.max(0, load.requests + 1 - slots) : 0;
-    return (isEngine ? engineWork : plainWork)(inputs, speed, requestsWithoutSlot) * slowness;
+    return (isEngine ? engineWork : plainWork)(inputs, speed) * slowness;
 }
--- a/src/node/upstream-table/request-placement.ts
+++ b/src/node/upstream-table/request-placement.ts
@@ -1,6 +1,7 @@
 /** Joins what the placement of requests needs: data centres, prefixes, the leaving share, speeds and the log. */
 import type { UpstreamSend } from "../upstreams/send.js";
 import type { LogFields } from "../logging/logging.js";
+import { createAverageRequests } from "./average-requests.js";
 import { expectedWork } from "./expected-work.js";
 import type { ChoicePlacement, DataCentreView, PrefixDemand } from "./data-centre-choice.js";
 import { crossingBytes } from "./leaving-cost.js";
@@ -86,6 +87,9 @@
 /** Round trip within a data centre and the work around a request, milliseconds. */
 const OVERHEAD_MILLISECONDS = 2;
 
+/** Random delay of plain upstreams elsewhere, relative to the target latency: half of the time that work takes. */
+const PLAIN_SPREAD_RATIO = 0.2;
+
 const NO_PREFIX: PrefixDemand = { ownRequests: 0, allRequests: 0, upstreams: 1 };
 
 /** Number of upstreams of a data centre that serve a prefix with so many requests in flight there. */
@@ -117,6 +121,7 @@
 
 export function createRequestPlacement(options: RequestPlacementOptions): RequestPlacement {
     const { prefixUses, spillover } = options;
+    const averages = createAverageRequests();
     let knownNodes: readonly { readonly dataCentre: string }[] | undefined;
     let ownNodes = 1;
 
@@ -181,6 +186,7 @@
         crossingBytes: crossingBytes(request.bodyBytes, request.expectedEvents),
         prices: options.prices,
         prefix: prefixDemand(request.affinityKey, now),
+        spreadMilliseconds: request.isEngine ? 0 : PLAIN_SPREAD_RATIO * request.targetLatencyMilliseconds,
         mayLeave: demand => spillover.mayLeave(spilloverKey(request), demand, now),
     });
 
@@ -190,6 +196,7 @@
             expectedWork(
                 {
                     load,
+                    averageRequests: averages.record(entry.id, load.requests, now),
                     unreadTokens,
                     ownTokens: request.promptTokens - request.sharedTokens,
                     slots: entry.slots,
--- a/src/node/upstream-table/spillover.ts
+++ b/src/node/upstream-table/spillover.ts
@@ -38,14 +38,6 @@
 /** The same excess relative to the target latency, where that is shorter. */
 const BAND_RATIO = 0.5;
 
-/**
- * The same for targets below `SHORT_TARGET_MILLISECONDS`. Such requests end before newer loads arrive, so that
- * waiting for these would only make them late.
- */
-const SHORT_BAND_RATIO = 0.2;
-
-const SHORT_TARGET_MILLISECONDS = 1000;
-
 /** Time after which a constant excess has moved the sum by as much as the share at once, milliseconds. */
 const SUM_MILLISECONDS = 3000;
 
@@ -64,10 +56,7 @@
 /** Excess of the own delay relative to the band, -1 to 1. */
 function relativeExcess(demand: SpilloverDemand): number {
     const target = demand.targetLatencyMilliseconds;
-    const band =
-        target < SHORT_TARGET_MILLISECONDS
-            ? SHORT_BAND_RATIO * target
-            : Math.min(MAXIMUM_BAND_MILLISECONDS, BAND_RATIO * target);
+    const band = Math.min(MAXIMUM_BAND_MILLISECONDS, BAND_RATIO * target);
     return Math.max(-1, Math.min(1, (demand.ownDelay - demand.otherDelay) / band));
 }
 
