--- a/src/node/routes/entities.ts
+++ b/src/node/routes/entities.ts
@@ -1,4 +1,5 @@
 /** Entities of the routing configuration: routes, services, workspaces and limits for callers. */
+import type { ScalingRule } from "../duties/scaling-decision.js";
 
 /**
  * Decides which requests of a route may be retried.
@@ -47,6 +48,8 @@
     readonly engineTokens: number | undefined;
     /** Price of 1,000 generated tokens by model. */
     readonly modelCosts: ReadonlyMap<string, number>;
+    /** How far the service may be scaled in each data centre; `undefined` when its size is fixed. */
+    readonly scaling?: ScalingRule;
 }
 
 export interface Workspace {
