Report usage and order upstreams from one node at a time

Where the settings have a section [duties], the node that holds the lease collects the counts of requests that began to run from all nodes, over the peers' listener, claims each window by a row with its content and then sends it.

The test of the template now renders the conditional section and also checks the settings without it.

--- a/src/node/duties/__tests__/duty-lease.spec.ts
+++ b/src/node/duties/__tests__/duty-lease.spec.ts
@@ -69,9 +69,18 @@
 
 test("only the first live nodes contend, and a holder keeps the lease", () => {
     const liveNodes = Array.from({ length: 50 }, (_, index) => `n${index}`);
-    const common = { liveNodes, isStopping: false, isStoreAway: false, isReceiverAway: false };
+    const common = {
+        liveNodes,
+        vacantMilliseconds: 0,
+        isStopping: false,
+        isStoreAway: false,
+        isReceiverAway: false,
+    };
     const contenders = liveNodes.filter(node => wantsLease({ ...common, node, isHolding: false }));
     assert.equal(contenders.length, 3);
+    // The first ones may be dead without anybody knowing.
+    const later = { ...common, vacantMilliseconds: 4500 };
+    assert.equal(liveNodes.filter(node => wantsLease({ ...later, node, isHolding: false })).length, 9);
     assert.ok(liveNodes.every(node => wantsLease({ ...common, node, isHolding: true })));
     assert.ok(!wantsLease({ ...common, node: contenders[0]!, isHolding: true, isReceiverAway: true }));
 });
--- a/src/node/duties/contenders.ts
+++ b/src/node/duties/contenders.ts
@@ -9,6 +9,8 @@
     /** Ids of the nodes that were heard lately, with this one. */
     readonly liveNodes: readonly string[];
     readonly isHolding: boolean;
+    /** Time for which nobody has had the lease, milliseconds. */
+    readonly vacantMilliseconds: number;
     readonly isStopping: boolean;
     /** Whether neither the store nor a relay can be reached. */
     readonly isStoreAway: boolean;
@@ -19,6 +21,9 @@
 /** Nodes that contend. Three survive the loss of a data centre with two of them. */
 const CONTENDERS = 3;
 
+/** Time without a holder after which as many nodes again contend, milliseconds: the first ones may be dead. */
+const WIDENING_MILLISECONDS = 2000;
+
 const ORDER_KEY = "duties";
 
 /** Whether the node wants the lease. A holder keeps it when others come before it, so that it changes rarely. */
@@ -30,5 +35,6 @@
         return true;
     }
     const rank = rendezvousOrder(ORDER_KEY, inputs.liveNodes).indexOf(inputs.node);
-    return !inputs.isStoreAway && rank >= 0 && rank < CONTENDERS;
+    const rounds = 1 + Math.floor(inputs.vacantMilliseconds / WIDENING_MILLISECONDS);
+    return !inputs.isStoreAway && rank >= 0 && rank < CONTENDERS * rounds;
 }
--- a/src/node/duties/duty-lease.ts
+++ b/src/node/duties/duty-lease.ts
@@ -42,6 +42,9 @@
  */
 const CLOCK_TOLERANCE_MILLISECONDS = 250;
 
+/** Pause after a failed write of a node that has no lease to lose, milliseconds: the store may be in trouble. */
+const FAILED_WRITE_PAUSE_MILLISECONDS = 1500;
+
 /** Tokens of one epoch, more than a store gives out revisions. A token is a JSON number, which is exact up to epoch 2^21. */
 const TOKENS_PER_EPOCH = 2n ** 32n;
 
@@ -316,7 +319,10 @@
     const kind = isOfEpoch ? answer : "failed";
     const lease = applyLeaseAnswer(state.lease, action, { kind }, now);
     if (kind !== "applied") {
-        return { ...state, lease };
+        const mayRetrySoon = lease.held !== undefined && now < lease.held.until;
+        const notBefore =
+            kind === "failed" && !mayRetrySoon ? now + FAILED_WRITE_PAUSE_MILLISECONDS : lease.notBefore;
+        return { ...state, lease: { ...lease, notBefore } };
     }
     const isSameToken = state.actFrom.fencing === action.fencing;
     return {
@@ -334,6 +340,17 @@
     return isLeaseHeld(lease, now);
 }
 
+/** Time for which nobody has had the lease as far as this node knows, milliseconds. */
+export function vacancyOf({ lease }: DutyLeaseState, now: number): number {
+    const { held, observed } = lease;
+    if (held !== undefined || observed === undefined) {
+        return 0;
+    }
+    const { row, firstReadAt } = observed;
+    const isReturned = row === undefined || row.holder === "";
+    return Math.max(0, now - firstReadAt - (isReturned ? 0 : row.durationMilliseconds));
+}
+
 /** The check right before a call. `undefined` unless the node certainly has the lease and may act. */
 export function holdOf(state: DutyLeaseState, { now, wall }: Instant): DutyHold | undefined {
     const { lease, actFrom, renewedWall } = state;
--- a/src/node/duties/lease-holder.ts
+++ b/src/node/duties/lease-holder.ts
@@ -12,6 +12,7 @@
     isHolding,
     readLeaseRow,
     stepLease,
+    vacancyOf,
 } from "./duty-lease.js";
 import type { DutyHold, DutyLeaseSettings, Instant, LeaseWrite, LeaseWriteAnswer } from "./duty-lease.js";
 
@@ -30,7 +31,8 @@
     readonly settings: DutyLeaseSettings;
     readonly replica: Pick<RowReplica, "epoch" | "revision" | "stored">;
     readonly store: Pick<SharedStore, "transact">;
-    readonly isWanted: (isHolding: boolean) => boolean;
+    /** @param vacantMilliseconds Time for which nobody has had the lease */
+    readonly isWanted: (isHolding: boolean, vacantMilliseconds: number) => boolean;
     readonly clock: Clock;
     readonly lifecycle: Pick<Lifecycle, "add">;
     readonly logger: Logger;
@@ -106,7 +108,8 @@
             return;
         }
         const time = instant();
-        const isWanted = !isStopping && options.isWanted(isHolding(state, time.now));
+        const isWanted =
+            !isStopping && options.isWanted(isHolding(state, time.now), vacancyOf(state, time.now));
         const view = { epoch: replica.epoch, row: replica.stored(LEASE_ROW_KEY) };
         const result = stepLease(state, view, isWanted, time);
         ({ state } = result);
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -22,7 +22,7 @@
 import type { UpstreamSend } from "../upstreams/send.js";
 import { fingerprintOf } from "./request-fingerprint.js";
 import { createResponseSink } from "./response-sink.js";
-import { isSuccess, runAttempt } from "./attempt.js";
+import { isSuccess, runAttempt, signalsNotRun } from "./attempt.js";
 import type { AttemptResult, BufferedResponse } from "./attempt.js";
 import { endAfterUnconfirmed, nextStep, nextStepAfterHandover, rejectOrFail } from "./attempt-policy.js";
 import type { NextStep, RequestProgress } from "./attempt-policy.js";
@@ -143,6 +143,8 @@
     ) => void;
     /** Counts an attempt whose upstream broke off before the answer (`hasBegun` false) or within it. */
     readonly countBrokenOff: (service: string, hasBegun: boolean) => void;
+    /** Records that a request began to run at an upstream. @default nothing */
+    readonly recordRun?: (workspace: string) => void;
     /**
      * Records the outcome of an attempt as evidence about the upstream's version.
      *
@@ -356,6 +358,11 @@
             let limitPerSecond: number | undefined;
             let isUnframed = false;
             const answerProgress = createAnswerProgress();
+            const recordRun = (): void => {
+                if (request.workspace !== undefined) {
+                    options.recordRun?.(request.workspace.name);
+                }
+            };
             countRequest();
             const load = options.loads.begin(
                 upstream.entry.id,
@@ -440,6 +447,7 @@
                 },
                 onEvents: isFirst => {
                     if (isFirst) {
+                        recordRun();
                         options.quarantine.recordAnswer(sharedParts, clock.now());
                     }
                     if (answerProgress.recordEvent(clock.now())) {
@@ -448,6 +456,10 @@
                 },
                 onHead: (responseHead, status, isFramed) => {
                     isUnframed = !isFramed;
+                    const isStream = isSuccess(status) && responseHead.isEventStream;
+                    if (!isStream && !responseHead.isNotRun && !signalsNotRun(status)) {
+                        recordRun();
+                    }
                     if (isSuccess(status) && responseHead.isEventStream) {
                         options.framing.record(service.name, isFramed);
                     }
--- a/src/node/router/__tests__/router-settings.spec.ts
+++ b/src/node/router/__tests__/router-settings.spec.ts
@@ -70,12 +70,28 @@
     );
 });
 
-test("the deployment template has no unknown keys", () => {
+/** Fills the template in as the platform does, with or without the sections that it renders only for some. */
+function fillTemplate(hasDuties: boolean): string {
     const template = new URL("../../../../../deploy/settings.ini", import.meta.url);
-    const filled = readFileSync(template, "utf8")
-        .replaceAll(/\{\{(listen-addresses|platform)\.[^}]+\}\}/g, "10.0.0.1:80")
+    return readFileSync(template, "utf8")
+        .replaceAll(/\{\{#([^}]+)\}\}\n([^]*?)\{\{\/\1\}\}\n/g, hasDuties ? "$2" : "")
+        .replaceAll(/\{\{(listen-addresses\.[^}]+|platform\.[^}]+|cloud-api\.address)\}\}/g, "10.0.0.1:80")
         .replaceAll(/\{\{ip\}\}:\{\{internal-port-range\.\d\}\}/g, "10.0.0.1:80")
         .replaceAll(/\{\{ip\}\}/g, "10.0.0.1")
+        .replaceAll("{{cloud-api.duties}}", "usage_reporting,autoscaling")
+        .replaceAll("{{bounds.fencing-enforced}}", "false")
         .replaceAll(/\{\{[^}]+\}\}/g, "0.5");
-    assert.equal(resolveRouterConfig("settings.ini", filled).shifts.exposureShare, 0.5);
+}
+
+test("the deployment template has no unknown keys", () => {
+    const { shifts, duties } = resolveRouterConfig("settings.ini", fillTemplate(true));
+    assert.equal(shifts.exposureShare, 0.5);
+    assert.deepEqual(duties?.names, ["usage_reporting", "autoscaling"]);
+    assert.equal(duties.fencingEnforced, false);
+    assert.equal(duties.separationMilliseconds, 0.5);
+});
+
+// Calls of a duty that the platform does not offer would fail, and cost calls to the store.
+test("a deployment without the platform's field does no duties", () => {
+    assert.equal(resolveRouterConfig("settings.ini", fillTemplate(false)).duties, undefined);
 });
--- a/src/node/router/adapter.ts
+++ b/src/node/router/adapter.ts
@@ -1,5 +1,6 @@
 /** Interface to the platform that a router runs on. Adapters only translate and make no routing decisions. */
 import type { HeaderCodec } from "../forwarding/protocol.js";
+import type { SendDuty } from "../duties/duty-receiver.js";
 import type { RowChange } from "../replica/row-replica.js";
 import type { RowWrite, SharedStore } from "../replica/shared-store.js";
 import type { RoutingConfiguration } from "../routes/entities.js";
@@ -25,5 +26,7 @@
     compareAge(table: "configuration" | "runners", candidate: RowChange, known: RowChange): number;
     /** Returns `undefined` when the entry does not describe a valid upstream. */
     decodeUpstream(key: string, value: string): UpstreamEntry | undefined;
+    /** Calls of the duties of one node at a time. Absent without the section `[duties]`. */
+    readonly sendDuty?: SendDuty;
     encodeShiftReport(order: ShiftOrder, stage: ShiftStage): RowWrite;
 }
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -1,11 +1,14 @@
 /**
  * Composes a router node from its components: replicated state, routing decisions, listeners and shutdown.
  */
+import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
 import { delay, systemClock } from "../common/clock.js";
 import { hashToUnit } from "../common/hash.js";
 import { addListener } from "../common/listener.js";
 import { createSystemRandom } from "../common/random.js";
+import { createDuties } from "../duties/duties.js";
+import { createScalingSources } from "../duties/scaling-sources.js";
 import { createForwardingServer } from "../forwarding/forwarding-server.js";
 import { createRequestForwarder } from "../forwarding/request-forwarder.js";
 import type { Handover, RequestForwarderOptions } from "../forwarding/request-forwarder.js";
@@ -345,6 +348,46 @@
         }
     };
 
+    const duties =
+        config.duties === undefined || adapter.sendDuty === undefined
+            ? undefined
+            : createDuties({
+                  settings: {
+                      ...config.duties,
+                      usage: config.duties.usage === true,
+                      scaling: config.duties.scaling === true,
+                  },
+                  node: config.node.id,
+                  process: randomUUID(),
+                  nodes: nodes.entries,
+                  isActive: node => sharing.isActive(node, clock.now()),
+                  heardAt: node => loads.heardAt(node),
+                  isStopping: () => stopping,
+                  isStoreAway: () => sync.isDisconnected(),
+                  scaling: createScalingSources({
+                      services: () => operators.routes()?.configuration.services,
+                      upstreams: () => upstreams.all().filter(upstream => !upstreams.isLeaving(upstream)),
+                      loads: () => loads.totals(clock.now()),
+                      heardAt: node => loads.heardAt(node),
+                      nodes: nodes.ids,
+                      node: config.node.id,
+                      shiftOrders: () => operators.shiftOrders(),
+                      shiftStates: () => shifts.states(),
+                      isEvacuating: () => operators.evacuated().length > 0,
+                      isStoreAway: () => sync.isDisconnected(),
+                      clock,
+                  }),
+                  peers,
+                  replica: replicas.nodes,
+                  store: adapter.store,
+                  clockOffset: () => sync.clockOffset(),
+                  sendDuty: adapter.sendDuty,
+                  clock,
+                  metrics,
+                  lifecycle,
+                  logger: createLogger("duties"),
+              });
+
     const forwarderOptions: RequestForwarderOptions = {
         loads,
         clock,
@@ -420,6 +463,7 @@
             shifts.record(entry.service, entry.version, group, outcome, timing, process);
             reportDuringLoadTest(entry.service);
         },
+        recordRun: duties?.recordRun,
         nodeCount: () => nodes.count(),
         recordLeaving: upstream => upstreams.recordLeaving(upstream),
         recordUnanswered: ({ entry }) => reachability.recordFailure(entry.address),
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -131,6 +131,33 @@
         }),
         {},
     ),
+    /** Without this section, the node does no duties. */
+    duties: z.optional(
+        z.strictObject({
+            /** Endpoint that takes the calls of the duties. */
+            endpoint,
+            /** The platform's names of the duties, which `platform/` translates into `usage` and `scaling`. */
+            names: list,
+            /** Reports the usage of each window. @default false */
+            usage: z.optional(z.boolean()),
+            /** Orders the number of upstreams. @default false */
+            scaling: z.optional(z.boolean()),
+            /** Calls per second that all nodes together may make. */
+            callsPerSecond: z._default(positive, 50),
+            /** Time within which calls of two holders must not alternate, milliseconds. */
+            separationMilliseconds: z._default(nonNegative, 3000),
+            /** Time after a freeze or a partition in which late calls may arrive, milliseconds. */
+            thawSlackMilliseconds: z._default(nonNegative, 300),
+            /** Length of a window of usage, seconds. */
+            windowSeconds: z._default(positive, 5),
+            /** Time after the end of a window at which its report is due, seconds. */
+            delaySeconds: z._default(positive, 10),
+            /** Share by which a reported count may be off. */
+            toleratedShare: z._default(share, 0.05),
+            /** Whether the receiver rejects calls with a lower fencing token. */
+            fencingEnforced: z._default(z.boolean(), false),
+        }),
+    ),
     logging: z.prefault(
         z.strictObject({
             level: z._default(z.enum(["debug", "info", "warn", "error", "silent"]), "info"),
--- a/src/node/upstream-table/load-board.ts
+++ b/src/node/upstream-table/load-board.ts
@@ -39,6 +39,8 @@
     ejections(upstream: string, now: number): number;
     /** Load of an upstream, summed over this node and all nodes with a valid report. */
     total(upstream: string, now: number): Load;
+    /** Loads of all upstreams, summed as by `total`. */
+    totals(now: number): NodeLoads;
     /** Loads that this node causes, without idle upstreams. */
     ownLoads(): NodeLoads;
     /** Increases with every change of `ownLoads`. */
@@ -133,6 +135,17 @@
             }
             return load;
         },
+        totals: now => {
+            const sums = new Map(ownLoads);
+            for (const { loads, at } of reports.values()) {
+                if (at + REPORT_VALIDITY_MILLISECONDS >= now) {
+                    loads.forEach((load, upstream) =>
+                        sums.set(upstream, add(sums.get(upstream) ?? NO_LOAD, load)),
+                    );
+                }
+            }
+            return sums;
+        },
         ownLoads: () => ownLoads,
         get revision() {
             return revision;
