Count usage by single times, and check the true time before a claim

Counts in slots of 100 ms were divided at the ends of windows and rounded, so the sum of the reports was not 30 in one of two runs of the test with a killed node. Nodes now keep the time of each run for 40 s and hand over times. A claim is dropped when the true time has moved against the store's clock since the windows were chosen, and a true time that goes back lets no old window be claimed again.

--- a/src/node/duties/run-counts.ts
+++ b/src/node/duties/run-counts.ts
@@ -1,124 +1,144 @@
 /**
- * Time-stamped counts of the requests that began to run at upstreams, by workspace, and copies of the recent
- * counts of another node. Pure; times are on this node's monotonic clock, and on the store's clock between nodes.
+ * Times at which requests began to run at upstreams, by workspace, and copies of the recent times of another node.
+ * Pure; times are on the monotonic clock of the node that recorded them.
  *
- * Designed for 100 requests a second at each node: a slot of time holds a few workspaces, and 40 s of slots fit in
- * some hundred kilobytes.
+ * Designed for 100 requests a second at each node, of which 40 s are 4,000 times. Single times, not sums, make the
+ * counts of adjacent windows exact, which matters for workspaces with few requests.
  */
 import type { WorkspaceCounts } from "./duty-receiver.js";
 
-/** Length of a slot, milliseconds. A window's end divides a slot by time, which is off by some requests at most. */
-export const SLOT_MILLISECONDS = 100;
-
-/** Time for which counts are kept, milliseconds: several windows with their delay. */
+/** Time for which runs are kept, milliseconds: several windows with their delay. */
 export const RETENTION_MILLISECONDS = 40_000;
 
+/** Runs of a workspace that are kept; more than a node serves in the retention. */
+const MAXIMUM_RUNS = 50_000;
+
+/** Removes old times only when so many are old, because it moves the others. */
+const MINIMUM_REMOVED = 256;
+
 /** A period on one clock, from `from` inclusive to `to` exclusive, milliseconds. */
 export interface Period {
     readonly from: number;
     readonly to: number;
 }
 
-/** Counts of one slot; `at` is its start. */
-export interface SlotCounts {
-    readonly at: number;
-    readonly counts: WorkspaceCounts;
-}
+/** Times of runs by workspace, in order. */
+export type RunTimes = Readonly<Record<string, readonly number[]>>;
 
 export interface RunCounts {
     record(workspace: string, now: number): void;
-    /** Counts within a period. A slot that is partly within it counts by the share of its time. */
+    /** Counts within a period. */
     within(period: Period): WorkspaceCounts;
-    /** Slots that ended after a time and before another one, for a copy. */
-    slotsBetween(after: number, before: number): readonly SlotCounts[];
+    /** Times within a period, for a copy. */
+    timesWithin(period: Period): RunTimes;
 }
 
 /** Adds counts to a map. */
-export function addCounts(sum: Map<string, number>, counts: WorkspaceCounts, share = 1): void {
+export function addCounts(sum: Map<string, number>, counts: WorkspaceCounts): void {
     for (const [workspace, count] of Object.entries(counts)) {
-        sum.set(workspace, (sum.get(workspace) ?? 0) + count * share);
+        sum.set(workspace, (sum.get(workspace) ?? 0) + count);
     }
 }
 
-/** Sum over slots within a period. */
-export function sumSlots(slots: Iterable<SlotCounts>, { from, to }: Period): Map<string, number> {
-    const sum = new Map<string, number>();
-    for (const { at, counts } of slots) {
-        const overlap = Math.min(to, at + SLOT_MILLISECONDS) - Math.max(from, at);
-        if (overlap > 0) {
-            addCounts(sum, counts, overlap / SLOT_MILLISECONDS);
+/** Position of the first time that is not before a time. */
+function positionOf(times: readonly number[], time: number): number {
+    let low = 0;
+    let high = times.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if (times[middle]! < time) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
         }
     }
-    return sum;
+    return low;
 }
 
-export function createRunCounts(): RunCounts {
-    /** By number of the slot, oldest first. */
-    const slots = new Map<number, Map<string, number>>();
+function countWithin(runs: ReadonlyMap<string, readonly number[]>, { from, to }: Period): WorkspaceCounts {
+    const counts = [...runs].map(
+        ([workspace, times]) =>
+            [workspace, Math.max(0, positionOf(times, to) - positionOf(times, from))] as const,
+    );
+    return Object.fromEntries(counts.filter(([, count]) => count > 0));
+}
 
-    const listed = function* (): Iterable<SlotCounts> {
-        for (const [index, counts] of slots) {
-            yield { at: index * SLOT_MILLISECONDS, counts: Object.fromEntries(counts) };
+function discardOld(runs: Map<string, number[]>, oldest: number): void {
+    for (const [workspace, times] of runs) {
+        const old = Math.max(positionOf(times, oldest), times.length - MAXIMUM_RUNS);
+        if (old === times.length) {
+            runs.delete(workspace);
         }
-    };
+        else if (old >= MINIMUM_REMOVED) {
+            times.splice(0, old);
+        }
+    }
+}
+
+export function createRunCounts(): RunCounts {
+    const runs = new Map<string, number[]>();
+    let discardedAt = -Infinity;
 
     return {
         record: (workspace, now) => {
-            const index = Math.floor(now / SLOT_MILLISECONDS);
-            let slot = slots.get(index);
-            if (slot === undefined) {
-                slot = new Map();
-                slots.set(index, slot);
-                for (const old of slots.keys()) {
-                    if (old * SLOT_MILLISECONDS >= now - RETENTION_MILLISECONDS) {
-                        break;
-                    }
-                    slots.delete(old);
-                }
+            if (now - discardedAt >= RETENTION_MILLISECONDS / 2) {
+                discardedAt = now;
+                discardOld(runs, now - RETENTION_MILLISECONDS);
+            }
+            const times = runs.get(workspace);
+            if (times === undefined) {
+                runs.set(workspace, [now]);
+            }
+            else {
+                times.push(now);
             }
-            slot.set(workspace, (slot.get(workspace) ?? 0) + 1);
         },
-        within: period => Object.fromEntries(sumSlots(listed(), period)),
-        slotsBetween: (after, before) =>
-            [...listed()].filter(({ at }) => at >= after && at + SLOT_MILLISECONDS <= before),
+        within: period => countWithin(runs, period),
+        timesWithin: ({ from, to }) =>
+            Object.fromEntries(
+                [...runs]
+                    .map(
+                        ([workspace, times]) =>
+                            [workspace, times.slice(positionOf(times, from), positionOf(times, to))] as const,
+                    )
+                    .filter(([, times]) => times.length > 0),
+            ),
     };
 }
 
-/** Counts that another node handed over, for the case that it is killed. */
+/** Runs that another node handed over. */
+export interface CopiedRuns {
+    readonly origin: string;
+    readonly process: string;
+    /** On the monotonic clock of the process; they replace what is known from `from` on. */
+    readonly times: RunTimes;
+    readonly from: number;
+    /** Store's clock minus that clock, milliseconds. */
+    readonly offset: number;
+}
+
+/** Runs at other nodes, for the case that their processes are killed. */
 export interface CountCopies {
-    /**
-     * @param slots Slots on the monotonic clock of their node; a repeated slot replaces the one before.
-     * @param offset Store's clock minus that clock, milliseconds.
-     */
-    record(
-        origin: string,
-        process: string,
-        slots: readonly SlotCounts[],
-        offset: number,
-        storeNow: number,
-    ): void;
+    record(copy: CopiedRuns, storeNow: number): void;
     /** Counts of the processes of a node within a period of the store's clock. */
     within(origin: string, period: Period): ReadonlyMap<string, WorkspaceCounts>;
 }
 
 interface ProcessCopy {
     readonly offset: number;
-    readonly slots: Map<number, SlotCounts>;
+    readonly runs: Map<string, number[]>;
 }
 
 export function createCountCopies(): CountCopies {
     /** By process, by node. */
     const copies = new Map<string, Map<string, ProcessCopy>>();
 
-    const discardOld = (storeNow: number): void => {
+    const discardOldCopies = (storeNow: number): void => {
         for (const [origin, processes] of copies) {
-            for (const [process, { offset, slots }] of processes) {
-                for (const at of slots.keys()) {
-                    if (at + offset < storeNow - RETENTION_MILLISECONDS) {
-                        slots.delete(at);
-                    }
-                }
-                if (slots.size === 0) {
+            for (const [process, { offset, runs }] of processes) {
+                discardOld(runs, storeNow - offset - RETENTION_MILLISECONDS);
+                if (runs.size === 0) {
                     processes.delete(process);
                 }
             }
@@ -129,19 +149,27 @@
     };
 
     return {
-        record: (origin, process, slots, offset, storeNow) => {
-            discardOld(storeNow);
+        record: ({ origin, process, times, from, offset }, storeNow) => {
+            discardOldCopies(storeNow);
             const processes = copies.get(origin) ?? new Map<string, ProcessCopy>();
-            const known = processes.get(process)?.slots ?? new Map<number, SlotCounts>();
-            slots.forEach(slot => known.set(slot.at, slot));
-            processes.set(process, { offset, slots: known });
+            const runs = processes.get(process)?.runs ?? new Map<string, number[]>();
+            for (const [workspace, known] of runs) {
+                known.splice(positionOf(known, from));
+                if (known.length === 0) {
+                    runs.delete(workspace);
+                }
+            }
+            for (const [workspace, added] of Object.entries(times)) {
+                runs.set(workspace, [...(runs.get(workspace) ?? []), ...added]);
+            }
+            processes.set(process, { offset, runs });
             copies.set(origin, processes);
         },
         within: (origin, { from, to }) =>
             new Map(
-                [...(copies.get(origin) ?? [])].map(([process, { offset, slots }]) => [
+                [...(copies.get(origin) ?? [])].map(([process, { offset, runs }]) => [
                     process,
-                    Object.fromEntries(sumSlots(slots.values(), { from: from - offset, to: to - offset })),
+                    countWithin(runs, { from: from - offset, to: to - offset }),
                 ]),
             ),
     };
--- a/src/node/duties/usage-collection.ts
+++ b/src/node/duties/usage-collection.ts
@@ -11,8 +11,8 @@
 import type { JsonValue } from "../common/json.js";
 import type { Peers } from "../peers/peers.js";
 import type { WorkspaceCounts } from "./duty-receiver.js";
-import { RETENTION_MILLISECONDS, SLOT_MILLISECONDS, addCounts, createCountCopies } from "./run-counts.js";
-import type { Period, RunCounts, SlotCounts } from "./run-counts.js";
+import { addCounts, createCountCopies } from "./run-counts.js";
+import type { CopiedRuns, Period, RunCounts } from "./run-counts.js";
 
 /** A node that is asked for its counts. */
 export interface CountedNode {
@@ -44,15 +44,6 @@
     readonly counts: readonly WorkspaceCounts[];
 }
 
-interface CopyRequest {
-    readonly node: string;
-    readonly process: string;
-    /** Slots on the monotonic clock of the node. */
-    readonly slots: readonly SlotCounts[];
-    /** Store's clock minus that clock, milliseconds. */
-    readonly offset: number;
-}
-
 interface CopiesRequest {
     readonly origins: readonly string[];
     readonly periods: readonly Period[];
@@ -333,12 +324,11 @@
     ): Promise<CountResponse> => collectFrom(members.slice(0, MAXIMUM_DIRECT_NODES), periods);
 
     peers.handle(COPY_METHOD, params => {
-        const { node, process, slots, offset } = params as unknown as CopyRequest;
         const now = storeNow();
         if (now === undefined) {
             throw new Error("the store's clock is not known yet");
         }
-        copies.record(node, process, slots, offset, now);
+        copies.record(params as unknown as CopiedRuns, now);
         return true;
     });
 
@@ -375,9 +365,7 @@
                 return;
             }
             const now = clock.now();
-            const before = Math.floor(now / SLOT_MILLISECONDS) * SLOT_MILLISECONDS;
-            const recent = counts.slotsBetween(copiedUntil, before);
-            if (recent.length === 0) {
+            if (Object.keys(counts.timesWithin({ from: copiedUntil, to: now })).length === 0) {
                 return;
             }
             const holder = copyHoldersOf(options.node, options.nodes()).find(
@@ -386,17 +374,12 @@
             if (holder === undefined) {
                 return;
             }
-            const slots =
-                holder.id === copyHolder
-                    ? recent
-                    : counts.slotsBetween(
-                          now - Math.min(FIRST_COPY_MILLISECONDS, RETENTION_MILLISECONDS),
-                          before,
-                      );
-            const request: CopyRequest = {
-                node: options.node,
+            const from = holder.id === copyHolder ? copiedUntil : now - FIRST_COPY_MILLISECONDS;
+            const request: CopiedRuns = {
+                origin: options.node,
                 process: options.process,
-                slots,
+                times: counts.timesWithin({ from, to: now }),
+                from,
                 offset,
             };
             try {
@@ -407,7 +390,7 @@
                     CALL_TIMEOUT_MILLISECONDS,
                 );
                 copyHolder = holder.id;
-                copiedUntil = before;
+                copiedUntil = now;
             }
             catch {
                 // The next hand-over repeats these counts at another node.
--- a/src/node/duties/usage-reports.ts
+++ b/src/node/duties/usage-reports.ts
@@ -7,7 +7,7 @@
 import type { SharedStore } from "../replica/shared-store.js";
 import type { WorkspaceCounts } from "./duty-receiver.js";
 import type { DutySender } from "./duty-sender.js";
-import type { UsageCollection } from "./usage-collection.js";
+import type { CollectedCounts, UsageCollection } from "./usage-collection.js";
 import {
     USAGE_ROW_PREFIX,
     ageOfWindow,
@@ -44,6 +44,9 @@
 /** Age of the median from which it is asked for again, milliseconds. */
 const MEDIAN_VALIDITY_MILLISECONDS = 15_000;
 
+/** Change of the true time against the store's clock from which it is asked for again, milliseconds. */
+const CLOCK_TOLERANCE_MILLISECONDS = 250;
+
 /** Pause after a collection or a claim that failed, milliseconds. */
 const RETRY_MILLISECONDS = 500;
 
@@ -65,7 +68,7 @@
     /** Monotonic time at which the epoch was first read. */
     let epochSeenAt = -Infinity;
     /** Median over the nodes of their time of day minus the store's clock. */
-    let wallOffset: { readonly value: number; readonly at: number } | undefined;
+    let wallOffset: { readonly value: number; readonly at: number; readonly storeOffset: number } | undefined;
     let isClaiming = false;
     let notBefore = -Infinity;
     let missedCount = 0;
@@ -83,21 +86,32 @@
         known.slice(0, -MAXIMUM_REMEMBERED_WINDOWS).forEach(window => windows.delete(window));
     };
 
-    const updateMedian = (offsets: readonly number[]): void => {
-        const value = medianOf(offsets);
-        if (value !== undefined) {
-            wallOffset = { value, at: clock.now() };
+    const updateMedian = ({ wallOffsets, answered, silent }: CollectedCounts): void => {
+        const value = medianOf(wallOffsets);
+        const storeOffset = options.clockOffset();
+        // The clocks of a few nodes may all be wrong.
+        if (value !== undefined && storeOffset !== undefined && silent <= answered) {
+            wallOffset = { value, at: clock.now(), storeOffset };
         }
     };
 
+    /** Whether the median is of this time: a machine that was suspended and a store that restarted change it. */
+    const isMedianValid = (storeOffset: number): boolean =>
+        wallOffset !== undefined &&
+        clock.now() - wallOffset.at <= MEDIAN_VALIDITY_MILLISECONDS &&
+        Math.abs(storeOffset - wallOffset.storeOffset) <= CLOCK_TOLERANCE_MILLISECONDS;
+
     const claim = async (plan: UsagePlan, storeOffset: number, median: number): Promise<void> => {
         const epochBefore = replica.epoch;
         const storeTimeOf = (window: number): number => window * settings.windowMilliseconds - median;
         const collected = await options.collection.collect(
             plan.toClaim.map(window => ({ from: storeTimeOf(window), to: storeTimeOf(window + 1) })),
         );
-        updateMedian(collected.wallOffsets);
-        if (!options.mayAct() || replica.epoch !== epochBefore) {
+        updateMedian(collected);
+        const hasMoved =
+            Math.abs((wallOffset?.value ?? Infinity) - median) > CLOCK_TOLERANCE_MILLISECONDS ||
+            !isMedianValid(options.clockOffset() ?? Infinity);
+        if (!options.mayAct() || replica.epoch !== epochBefore || hasMoved) {
             return;
         }
         const oldestAge = ageOfWindow(plan.toClaim[0]!, clock.now() + storeOffset + median, settings);
@@ -238,13 +252,10 @@
             if (storeOffset === undefined) {
                 return;
             }
-            if (wallOffset === undefined || clock.now() - wallOffset.at > MEDIAN_VALIDITY_MILLISECONDS) {
+            if (wallOffset === undefined || !isMedianValid(storeOffset)) {
                 if (!isClaiming && clock.now() >= notBefore) {
-                    run(
-                        options.collection
-                            .collect([{ from: 0, to: 0 }])
-                            .then(({ wallOffsets }) => updateMedian(wallOffsets)),
-                    );
+                    notBefore = clock.now() + RETRY_MILLISECONDS;
+                    run(options.collection.collect([{ from: 0, to: 0 }]).then(updateMedian));
                 }
                 return;
             }
--- a/src/node/duties/usage-windows.ts
+++ b/src/node/duties/usage-windows.ts
@@ -84,10 +84,15 @@
     const { trueNow, claims, ownClaims, settled } = view;
     const ageOf = (window: number): number => ageOfWindow(window, trueNow, settings);
     const newest = windowAt(trueNow, settings) - 1;
-    const oldest = windowAt(trueNow - CLAIM_MILLISECONDS, settings);
+    // Rows are removed by age: a true time that went back must not let an old window be claimed again.
+    const newestClaim = Math.max(...claims.keys(), ...ownClaims.keys());
+    const oldest = Math.max(
+        windowAt(trueNow - CLAIM_MILLISECONDS, settings),
+        newestClaim - Math.ceil(CLAIM_MILLISECONDS / settings.windowMilliseconds),
+    );
     const mayBeLost = (window: number): boolean =>
         !view.isFirstEpoch && endOf(window, settings) <= view.epochSeenAt;
-    const recent = Array.from({ length: newest - oldest + 1 }, (_, index) => oldest + index);
+    const recent = Array.from({ length: Math.max(0, newest - oldest + 1) }, (_, index) => oldest + index);
     const isUnclaimed = (window: number): boolean =>
         !claims.has(window) && !ownClaims.has(window) && !settled.has(window);
     const countable = recent.filter(window => ageOf(window) >= SETTLE_MILLISECONDS);
