--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -23,7 +23,7 @@
 import type { UpstreamSend } from "../upstreams/send.js";
 import { fingerprintOf } from "./request-fingerprint.js";
 import { createResponseSink } from "./response-sink.js";
-import { isSuccess, runAttempt } from "./attempt.js";
+import { isSuccess, runAttempt, signalsNotRun } from "./attempt.js";
 import type { AttemptResult, BufferedResponse } from "./attempt.js";
 import { endAfterUnconfirmed, nextStep, nextStepAfterHandover, rejectOrFail } from "./attempt-policy.js";
 import type { NextStep, RequestProgress } from "./attempt-policy.js";
@@ -156,6 +156,8 @@
     ) => void;
     /** Counts an attempt whose upstream broke off before the answer (`hasBegun` false) or within it. */
     readonly countBrokenOff: (service: string, hasBegun: boolean) => void;
+    /** Records that a request began to run at an upstream. @default nothing */
+    readonly recordRun?: (workspace: string) => void;
     /**
      * Records the outcome of an attempt as evidence about the upstream's version.
      *
@@ -410,6 +412,11 @@
             let limitPerSecond: number | undefined;
             let isUnframed = false;
             const answerProgress = createAnswerProgress();
+            const recordRun = (): void => {
+                if (request.workspace !== undefined) {
+                    options.recordRun?.(request.workspace.name);
+                }
+            };
             countRequest();
             const placed = options.placement?.begin(placedRequest(), choice, loadBefore, sentAt);
             const load = options.loads.begin(
@@ -502,6 +509,7 @@
                 },
                 onEvents: isFirst => {
                     if (isFirst) {
+                        recordRun();
                         options.quarantine.recordAnswer(sharedParts, clock.now());
                     }
                     if (answerProgress.recordEvent(clock.now())) {
@@ -511,6 +519,10 @@
                 onHead: (responseHead, status, isFramed) => {
                     scarceAttempt?.recordHead();
                     isUnframed = !isFramed;
+                    const isStream = isSuccess(status) && responseHead.isEventStream;
+                    if (!isStream && !responseHead.isNotRun && !signalsNotRun(status)) {
+                        recordRun();
+                    }
                     if (isSuccess(status) && responseHead.isEventStream) {
                         options.framing.record(service.name, isFramed);
                     }
--- a/src/node/upstream-table/__tests__/waiting-in-reports.spec.ts
+++ b/src/node/upstream-table/__tests__/waiting-in-reports.spec.ts
@@ -6,12 +6,15 @@
 import { systemClock } from "../../common/clock.js";
 import { createLifecycle } from "../../lifecycle/lifecycle.js";
 import type { WireWaiting } from "../../scarcity/waiting-elsewhere.js";
+import { planAggregation } from "../aggregation-plan.js";
 import { createLoadBoard } from "../load-board.js";
 import { createLoadReports } from "../load-reports.js";
 import type { LoadReportOptions } from "../load-reports.js";
 
 const ADDRESSES = ["127.0.0.1", "127.0.0.2"] as const;
 
+const nodeAt = (address: string) => ({ id: address, dataCentre: "patio", address });
+
 async function findFreePort(): Promise<number> {
     const socket = createSocket("udp4");
     await new Promise<void>(resolve => socket.bind(0, ADDRESSES[1], resolve));
@@ -38,7 +41,8 @@
         isIsolated: () => false,
         peerStates: { record: () => undefined },
         waiting,
-        peers: () => [ADDRESSES[1]],
+        dataCentre: "patio",
+        plan: () => planAggregation(nodeAt(ADDRESSES[0]), ADDRESSES.map(nodeAt)),
         clock: systemClock,
         random: () => 0,
         lifecycle,
@@ -67,7 +71,7 @@
 });
 
 test("a node reads the waiting requests of another one, and their end", async () => {
-    const waiting: readonly WireWaiting[] = [["engines", 0, 2, 7]];
+    const waiting: readonly WireWaiting[] = [["n1", "engines", 0, 2, 7]];
     const [withWaiting] = await datagramsOf({
         reportWaiting: () => waiting,
         mergeWaiting: () => undefined,
@@ -88,9 +92,10 @@
         peerStates: { record: () => undefined },
         waiting: {
             reportWaiting: () => undefined,
-            mergeWaiting: (node, requests) => merged.push([node, requests]),
+            mergeWaiting: requests => merged.push(requests),
         },
-        peers: () => [],
+        dataCentre: "patio",
+        plan: () => planAggregation(nodeAt(ADDRESSES[1]), [nodeAt(ADDRESSES[1])]),
         clock: systemClock,
         random: () => 0,
         lifecycle,
@@ -98,7 +103,8 @@
     });
     await lifecycle.start();
     const socket = createSocket("udp4");
-    for (const datagram of [withWaiting!, '["n1",[],[]]']) {
+    const ended: readonly WireWaiting[] = [["n1", "engines", 0, 2, 0]];
+    for (const datagram of [withWaiting!, JSON.stringify(["n1", [], [], { waiting: ended }])]) {
         const count = merged.length;
         socket.send(datagram, port, ADDRESSES[1]);
         while (merged.length === count) {
@@ -107,8 +113,5 @@
     }
     socket.close();
     await lifecycle.stop();
-    assert.deepEqual(merged, [
-        ["n1", waiting],
-        ["n1", []],
-    ]);
+    assert.deepEqual(merged, [waiting, ended]);
 });
--- a/src/node/upstream-table/load-board.ts
+++ b/src/node/upstream-table/load-board.ts
@@ -51,6 +51,8 @@
     ejections(upstream: string, now: number): number;
     /** Load of an upstream, summed over this node and all nodes with a valid report. */
     total(upstream: string, now: number): Load;
+    /** Loads of all upstreams, summed as by `total`. */
+    totals(now: number): NodeLoads;
     /** Loads that this node causes, without idle upstreams. */
     ownLoads(): NodeLoads;
     /** Increases with every change of `ownLoads`. */
@@ -108,6 +110,31 @@
         }
     };
 
+    const total = (upstream: string, now: number): Load => {
+        let load = ownLoads.get(upstream) ?? NO_LOAD;
+        for (const [node, { loads, at }] of reports) {
+            if (at + REPORT_VALIDITY_MILLISECONDS < now) {
+                reports.delete(node);
+                continue;
+            }
+            const reported = loads.get(upstream);
+            if (reported !== undefined && selection.isNodeCounted(node, now)) {
+                load = addLoads(load, reported);
+            }
+        }
+        for (const [source, { loads, at }] of sums) {
+            if (at + REPORT_VALIDITY_MILLISECONDS < now) {
+                sums.delete(source);
+                continue;
+            }
+            const reported = loads.get(upstream);
+            if (reported !== undefined && selection.isSumCounted(source, now)) {
+                load = addLoads(load, reported);
+            }
+        }
+        return load;
+    };
+
     return {
         begin: (upstream, pendingTokens, heldTokens) => {
             let pending = pendingTokens;
@@ -165,29 +192,11 @@
             }
             return count;
         },
-        total: (upstream, now) => {
-            let load = ownLoads.get(upstream) ?? NO_LOAD;
-            for (const [node, { loads, at }] of reports) {
-                if (at + REPORT_VALIDITY_MILLISECONDS < now) {
-                    reports.delete(node);
-                    continue;
-                }
-                const reported = loads.get(upstream);
-                if (reported !== undefined && selection.isNodeCounted(node, now)) {
-                    load = addLoads(load, reported);
-                }
-            }
-            for (const [source, { loads, at }] of sums) {
-                if (at + REPORT_VALIDITY_MILLISECONDS < now) {
-                    sums.delete(source);
-                    continue;
-                }
-                const reported = loads.get(upstream);
-                if (reported !== undefined && selection.isSumCounted(source, now)) {
-                    load = addLoads(load, reported);
-                }
-            }
-            return load;
+        total,
+        totals: now => {
+            const known = [ownLoads, ...[...reports.values(), ...sums.values()].map(({ loads }) => loads)];
+            const ids = new Set(known.flatMap(loads => [...loads.keys()]));
+            return new Map([...ids].map(id => [id, total(id, now)]));
         },
         ownLoads: () => ownLoads,
         get revision() {
