--- a/src/node/client-limits/body-reader.ts
+++ b/src/node/client-limits/body-reader.ts
@@ -112,7 +112,8 @@
     }
 }
 
-function hasBody({ headers }: IncomingMessage): boolean {
+/** Whether the head of a request announces a body. */
+export function hasBody({ headers }: IncomingMessage): boolean {
     return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 }
 
--- a/src/node/client-limits/client-limits.ts
+++ b/src/node/client-limits/client-limits.ts
@@ -43,8 +43,8 @@
     readonly logger: Logger;
 }
 
-/** Share of the buffers' maximum that is kept for further bodies while unused. */
-const IDLE_SEGMENT_SHARE = 0.75;
+/** Share of the buffers' maximum that is kept for further bodies while unused: all, as garbage counts as well. */
+const IDLE_SEGMENT_SHARE = 1;
 
 /** Maximum number of unused segments that are kept where the maximum is large. */
 const MAXIMUM_IDLE_SEGMENTS = 512;
--- a/src/node/client-limits/connection-guard.ts
+++ b/src/node/client-limits/connection-guard.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { hasBody } from "./body-reader.js";
 import type { BudgetHolder, CallerBudget, HeldResource } from "./caller-budget.js";
 
 export const CLIENT_LIMITS = [
@@ -69,6 +70,9 @@
 /** Objects of a header field, bytes on the heap: as received, by name, and as forwarded. */
 const FIELD_OBJECT_BYTES = 200;
 
+/** Bytes that one read of a connection brings at most. Bodies of waiting requests are a part of one read. */
+const READ_BYTES = 65_536;
+
 const HTTP_BAD_REQUEST = 400;
 const HTTP_TIMEOUT = 408;
 const HTTP_TOO_LARGE = 413;
@@ -114,10 +118,13 @@
     /** The head of a further request was overdue while requests before it ran. */
     isHeadOverdue = false;
     headTimer: NodeJS.Timeout | undefined;
+    /** The connection has a timeout for the answer that was written last. */
+    isAnswerTimed = false;
     private bodyBytes = 0;
     private answerBytes = 0;
     private runningObjectBytes = 0;
     private waitingObjectBytes = 0;
+    private waitingBodyBytes = 0;
     private isShed = false;
     private shedExchange: (() => void) | undefined;
 
@@ -138,6 +145,7 @@
 
     add(exchange: PendingExchange): void {
         this.waiting.push(exchange);
+        this.waitingBodyBytes = hasBody(exchange.message) ? READ_BYTES : this.waitingBodyBytes;
         this.waitingObjectBytes += objectBytesOf(exchange.message, WAITING_OBJECT_BYTES);
         this.update();
     }
@@ -147,6 +155,9 @@
         if (exchange !== undefined) {
             this.waitingObjectBytes -= objectBytesOf(exchange.message, WAITING_OBJECT_BYTES);
         }
+        if (this.waiting.length === 0) {
+            this.waitingBodyBytes = 0;
+        }
         return exchange;
     }
 
@@ -190,6 +201,7 @@
         clearTimeout(this.headTimer);
         this.waiting.length = 0;
         this.waitingObjectBytes = 0;
+        this.waitingBodyBytes = 0;
         this.end();
     }
 
@@ -197,7 +209,7 @@
         // What was shed is not counted again; its connection is about to close.
         if (!this.isShed) {
             this.budget?.set(this, {
-                buffers: this.bodyBytes + this.answerBytes,
+                buffers: this.bodyBytes + this.answerBytes + this.waitingBodyBytes,
                 objects: this.runningObjectBytes + this.waitingObjectBytes,
             });
         }
@@ -241,6 +253,11 @@
             return;
         }
         waitingCount -= 1;
+        if (connection.isAnswerTimed) {
+            // Node.js replaces the timeout only when no further answer is due.
+            connection.isAnswerTimed = false;
+            socket.setTimeout(0);
+        }
         begin(connection, exchange);
         if (waiting.length === 0) {
             socket.resume();
@@ -259,14 +276,9 @@
         idle.delete(connection);
         clearTimeout(connection.headTimer);
         const exchange = connection.begin(pending);
-        let isAnswerTimed = false;
         // Without a listener, an error of a write to a connection that has just closed would end the process.
         response.on("error", fail);
         response.once("close", () => {
-            if (isAnswerTimed && connection.waiting.length > 0) {
-                // Node.js sets its own timeout only when no answer waits.
-                socket.setTimeout(0);
-            }
             connection.end();
             beginNext(connection);
         });
@@ -282,7 +294,7 @@
                 ...exchange,
                 recordAnswerEnd: () => {
                     if (!response.writableFinished && !socket.destroyed) {
-                        isAnswerTimed = true;
+                        connection.isAnswerTimed = true;
                         socket.setTimeout(options.answerMilliseconds());
                     }
                 },
--- a/src/node/client-limits/resolve-limits.ts
+++ b/src/node/client-limits/resolve-limits.ts
@@ -27,8 +27,11 @@
  */
 const PROGRAM_MEGABYTES = 120;
 
-/** Share of the memory beyond the program for buffers. The rest is for the heap's growth and for garbage. */
-const BUFFER_MEMORY_SHARE = 0.35;
+/**
+ * Share of the memory beyond the program for buffers. The rest is for the heap, which may grow by 40 MB, and for
+ * garbage. With 0.35, large open bodies took up to 174 MB of 178 in one of five runs.
+ */
+const BUFFER_MEMORY_SHARE = 0.27;
 
 /** Bytes of buffers on the smallest VMs: four bodies of the largest size. */
 const MINIMUM_BUFFER_BYTES = 16 * MEGABYTE;
@@ -61,8 +64,8 @@
  * Shares of the descriptors that are left. Each running request has one connection to an upstream, so as many stay for
  * upstreams as callers and other nodes may use, and a tenth for idle connections to upstreams.
  */
-const CALLER_SHARE = 0.33;
-const HANDOVER_SHARE = 0.06;
+const CALLER_SHARE = 0.3;
+const HANDOVER_SHARE = 0.09;
 const PEER_SHARE = 0.12;
 
 /** @param heapBytes Limit of the JavaScript heap. */
@@ -71,8 +74,10 @@
     const freeHeapBytes = Math.max(0, heapBytes - PROGRAM_HEAP_BYTES);
     const descriptors = settings.fileDescriptors - FILE_DESCRIPTORS_OF_FILES - RESERVED_DESCRIPTORS;
     const mostInHeap = (freeHeapBytes * IDLE_HEAP_SHARE) / IDLE_CONNECTION_BYTES;
-    const connections = (share: number): number =>
-        Math.max(MINIMUM_CONNECTIONS, Math.floor(Math.min(descriptors * share, mostInHeap)));
+    const connections = (share: number): number => {
+        const inHeap = (mostInHeap * share) / (CALLER_SHARE + HANDOVER_SHARE + PEER_SHARE);
+        return Math.max(MINIMUM_CONNECTIONS, Math.floor(Math.min(descriptors * share, inHeap)));
+    };
     return {
         heldBytes: {
             buffers: Math.max(MINIMUM_BUFFER_BYTES, bufferMegabytes * MEGABYTE),
--- a/src/node/client-limits/unread-body.ts
+++ b/src/node/client-limits/unread-body.ts
@@ -1,12 +1,13 @@
 /** Ends responses to requests whose bodies are not read to their end. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { hasBody } from "./body-reader.js";
 
 /**
  * Limits for the rest of a body that is read and discarded. Closing a connection with unread bytes resets it, and the
  * client may then lose the response.
  */
 const DISCARD_MILLISECONDS = 500;
-const MAXIMUM_DISCARDED_BYTES = 1024 * 1024;
+const MAXIMUM_DISCARDED_BYTES = 256 * 1024;
 
 /** Sends the body of a response, and ends the response when the request has ended or its rest exceeds a limit. */
 export function endAfterRest(message: IncomingMessage, response: ServerResponse, body: string): void {
@@ -33,9 +34,7 @@
 
 /** Lets a response close its connection if the request has a body that was not read to its end. */
 export function closeAfterBody(message: IncomingMessage, response: ServerResponse): void {
-    const { headers } = message;
-    const hasBody = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-    if (hasBody && !message.complete && !response.headersSent) {
+    if (hasBody(message) && !message.complete && !response.headersSent) {
         response.setHeader("connection", "close");
     }
 }
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -195,7 +195,7 @@
         deadline: number,
         trace: RequestTrace,
     ): Promise<Buffer> => {
-        const { message, socket } = exchange;
+        const { message, response, socket } = exchange;
         if (Number(message.headers["content-length"] ?? 0) > maximumBytes) {
             throw new RequestRejection(HTTP_TOO_LARGE, `the body is larger than ${maximumBytes} bytes`);
         }
@@ -208,6 +208,9 @@
         });
         exchange.onShed(() => {
             trace.add("requests", "Gave up a request, as its memory is needed for others.");
+            if (!response.headersSent) {
+                response.setHeader("connection", "close");
+            }
             if (!reader.cancel("shed", "the memory for requests is exhausted")) {
                 // The request may run at an upstream, so no status may say that it has not.
                 socket.destroy();
