Send the parts of large sums in turn

More than four datagrams of a sum were sent less often than every 0.1 s, so that from about 400 upstreams on the second node of a data centre took over and the others reported directly, although the first one was there. The parts of a sum are now sent in turn within 10 intervals, and each part is replaced by itself, as an upstream is always in the same one.

--- a/src/node/upstream-table/__tests__/load-aggregation.spec.ts
+++ b/src/node/upstream-table/__tests__/load-aggregation.spec.ts
@@ -1,7 +1,9 @@
 /** Guards against loads that count twice, arrive late or get lost when aggregating nodes fail. */
 import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
+import { delay, systemClock } from "../../common/clock.js";
 import { createSeededRandom } from "../../common/random.js";
 import { createPeerStates } from "../../handover/helpers.js";
 import type { PeerStates } from "../../handover/helpers.js";
@@ -258,19 +260,25 @@
     assert.deepEqual([...new Set(fleet.nodes.map(node => requestsAt(node, "a")))], [4]);
 });
 
+// The parts of a sum are sent in turn, so that it may take more than the time after which others take over.
 test("each request counts once when many upstreams take several datagrams", async context => {
     const fleet = await createFleet(context, 24, 4);
-    for (let upstream = 0; upstream < 500; upstream += 1) {
+    for (let upstream = 0; upstream < 3900; upstream += 1) {
         fleet.nodes[upstream % 24]!.board.begin(`upstream-${upstream}`, 1, 1);
     }
-    await fleet.advance(1000);
-    for (const node of fleet.nodes) {
-        const sum = Array.from({ length: 500 }, (_, index) => requestsAt(node, `upstream-${index}`));
-        assert.equal(
-            sum.reduce((total, requests) => total + requests, 0),
-            500,
-        );
+    await fleet.advance(4000);
+    for (let round = 0; round < 10; round += 1) {
+        await fleet.advance(130);
+        for (const node of fleet.nodes) {
+            const sum = Array.from({ length: 3900 }, (_, index) => requestsAt(node, `upstream-${index}`));
+            assert.equal(
+                sum.reduce((total, requests) => total + requests, 0),
+                3900,
+            );
+        }
     }
+    assert.equal(fleet.nodes.filter(({ reports }) => reports.isAggregating()).length, 4);
+    assert.ok(fleet.nodes.every(({ reports }) => !reports.isFallback()));
     assert.ok(Math.max(...fleet.nodes.map(node => node.largestBytes)) < 8192);
 });
 
@@ -398,6 +406,55 @@
     assert.deepEqual([...new Set(fleet.nodes.map(node => requestsAt(node, "a")))], [30]);
 });
 
+// Guards the socket itself, which the other tests replace.
+test("18 nodes exchange totals over UDP", async context => {
+    const free = createSocket("udp4");
+    await new Promise<void>(resolve => free.bind(0, "127.0.1.1", resolve));
+    const { port } = free.address();
+    await new Promise<void>(resolve => free.close(resolve));
+    const entries: readonly ReportingNode[] = Array.from({ length: 18 }, (_, index) => ({
+        id: `node-${index}`,
+        dataCentre: `dc-${index % 2}`,
+        address: `127.0.1.${index + 1}`,
+        aggregatesLoads: true,
+    }));
+    const lifecycle = createLifecycle();
+    const nodes = entries.map(entry => {
+        const board = createLoadBoard();
+        const reports = createLoadReports({
+            node: entry.id,
+            dataCentre: entry.dataCentre,
+            address: entry.address,
+            port,
+            plan: createAggregationPlans(entry, () => entries),
+            board,
+            ejected: () => [],
+            quarantine: { report: () => undefined, merge: () => undefined },
+            limits: { report: () => undefined, merge: () => undefined },
+            brittle: createBrittleServices(),
+            isIsolated: () => false,
+            peerStates: createPeerStates(),
+            clock: systemClock,
+            random: createSeededRandom(1),
+            lifecycle,
+            logger: silentLogging("loads"),
+        });
+        return { board, reports };
+    });
+    await lifecycle.start();
+    context.after(() => lifecycle.stop());
+    nodes.forEach(({ board }) => board.begin("a", 1, 1));
+    const isComplete = (): boolean =>
+        nodes.every(
+            ({ board, reports }) =>
+                board.total("a", systemClock.now()).requests === 18 && !reports.isFallback(),
+        );
+    for (let waited = 0; waited < 10_000 && !isComplete(); waited += 50) {
+        await delay(50);
+    }
+    assert.ok(isComplete());
+});
+
 test("a late datagram does not replace a newer one", async context => {
     const fleet = await createFleet(context, 24, 4);
     const board = createLoadBoard();
--- a/src/node/upstream-table/load-aggregation.ts
+++ b/src/node/upstream-table/load-aggregation.ts
@@ -11,7 +11,7 @@
 import type { AggregationPlan, ReportingNode } from "./aggregation-plan.js";
 import { addLoads, NO_LOAD, REPORT_VALIDITY_MILLISECONDS } from "./load-board.js";
 import type { Load, LoadBoard, LoadSelection, NodeLoads } from "./load-board.js";
-import { encodeSums, nodesDatagrams, sumDatagram, totalDatagram } from "./load-messages.js";
+import { encodeSums, nodesDatagrams, partCount, sumDatagram, totalDatagram } from "./load-messages.js";
 import type { CoveredNode, LoadSums, NodesMessage, SumMessage, TotalMessage } from "./load-messages.js";
 
 /** Silence of the first node of a data centre after which the second one takes over, milliseconds. */
@@ -39,9 +39,11 @@
 /** Interval between lists of the nodes that the sums cover, milliseconds. */
 const NODES_MILLISECONDS = 280;
 
-/** Parts of a sum and receivers that one interval allows. More of them are sent less often. */
-const PARTS_PER_INTERVAL = 4;
-const MEMBERS_PER_INTERVAL = 32;
+/**
+ * Intervals in which all parts of a sum are sent in turn. Must fit into the validity of a sum, and determines the
+ * age of loads in deployments with many upstreams.
+ */
+const INTERVALS_PER_ROUND = 10;
 
 /** Reports of this node that are kept, to subtract them from totals that include them. */
 const KEPT_REPORTS = 24;
@@ -70,6 +72,12 @@
     readonly at: number;
 }
 
+/** Parts of a sum, which are sent in turn. */
+interface PartRound {
+    parts: number;
+    next: number;
+}
+
 interface RemoteSums {
     readonly parts: ReadonlyMap<number, LoadSums>;
     readonly count: number;
@@ -176,6 +184,8 @@
     let nodesSentAt = -Infinity;
     let sentIsolated = "";
     let sequence = options.firstSequence;
+    const sumRound: PartRound = { parts: 1, next: 0 };
+    const totalRound: PartRound = { parts: 1, next: 0 };
 
     /** Records that time has passed, and whether this node could miss reports meanwhile. */
     const check = (now: number): void => {
@@ -258,6 +268,7 @@
         for (const [key, { at }] of sums) {
             if (!isValid(at, now)) {
                 sums.delete(key);
+                board.removeSums(`${SUM_PREFIX}${key}/`);
                 hasChanges = true;
             }
         }
@@ -293,43 +304,61 @@
 
     const receivers = (): readonly ReportingNode[] => [...plan().members.values(), ...guests()];
 
+    /** Parts that are sent now, of as many as the sum has. A sum never gets fewer parts again. */
+    const nextParts = (round: PartRound, upstreams: number): readonly number[] => {
+        round.parts = Math.max(round.parts, partCount(upstreams));
+        const count = Math.ceil(round.parts / INTERVALS_PER_ROUND);
+        const parts = Array.from({ length: count }, (_, index) => (round.next + index) % round.parts);
+        round.next = (round.next + count) % round.parts;
+        return parts;
+    };
+
     const sumMessages = (own: LoadSums, now: number): readonly Outgoing[] => {
-        const bodies = encodeSums(own);
         sequence += 1;
         sumSentAt = now;
         hasMemberChanges = false;
-        return bodies.flatMap((body, part) => {
-            const { dataCentre } = options;
-            const isUnsure = isUnsureAt(now);
+        const isUnsure = isUnsureAt(now);
+        return nextParts(sumRound, own.loads.size).flatMap(part => {
+            const { parts } = sumRound;
             const datagram = sumDatagram(
-                { sender: options.node, dataCentre, sequence, part, parts: bodies.length, isUnsure },
-                body,
+                { sender: options.node, dataCentre: options.dataCentre, sequence, part, parts, isUnsure },
+                encodeSums(own, part, parts),
             );
             return plan().remoteAggregators.map(({ address }) => ({ address, datagram }));
         });
     };
 
-    const totalMessages = (own: LoadSums, now: number): readonly Outgoing[] => {
-        const remote = [...sums.values()].flatMap(({ parts }) => [...parts.values()]);
-        const bodies = encodeSums(addSums([own, ...remote]));
-        const intervals = Math.max(
-            Math.ceil(bodies.length / PARTS_PER_INTERVAL),
-            Math.ceil(plan().members.size / MEMBERS_PER_INTERVAL),
+    /** Sums of the other data centres, without those that have nothing in the chosen parts. */
+    const remoteSums = (chosen: readonly number[], parts: number): readonly LoadSums[] =>
+        [...sums.values()].flatMap(remote =>
+            [...remote.parts].flatMap(([part, content]) =>
+                remote.count === parts && !chosen.includes(part) ? [] : [content],
+            ),
         );
-        if (now - totalSentAt < (intervals - 1) * 100) {
-            return [];
-        }
+
+    const countUpstreams = (own: LoadSums): number => {
+        const counts = [...sums.values()].map(({ parts }) =>
+            [...parts.values()].reduce((sum, { loads }) => sum + loads.size, 0),
+        );
+        return Math.max(own.loads.size, ...counts);
+    };
+
+    const totalMessages = (own: LoadSums, now: number): readonly Outgoing[] => {
         sequence += 1;
         totalSentAt = now;
         hasChanges = false;
         const { members } = plan();
         const isUnsure = isUnsureAt(now);
+        const chosen = nextParts(totalRound, countUpstreams(own));
+        const { parts } = totalRound;
+        const total = addSums([own, ...remoteSums(chosen, parts)]);
+        const bodies = chosen.map(part => ({ part, body: encodeSums(total, part, parts) }));
         return receivers().flatMap(({ id, address }) => {
             const included = members.has(id) ? (reports.get(id)?.sequence ?? -1) : -1;
-            return bodies.map((body, part) => ({
+            return bodies.map(({ part, body }) => ({
                 address,
                 datagram: totalDatagram(
-                    { sender: options.node, sequence, part, parts: bodies.length, included, isUnsure },
+                    { sender: options.node, sequence, part, parts, included, isUnsure },
                     body,
                 ),
             }));
@@ -456,9 +485,13 @@
                 return [];
             }
             const local = addSums([own, ...memberReports().map(sumsOf)]);
-            const mustSendSum = hasMemberChanges || now - sumSentAt >= UNCHANGED_SUM_MILLISECONDS;
+            const mustSendSum =
+                hasMemberChanges || sumRound.parts > 1 || now - sumSentAt >= UNCHANGED_SUM_MILLISECONDS;
             const mustSendTotal =
-                hasMemberChanges || hasChanges || now - totalSentAt >= UNCHANGED_TOTAL_MILLISECONDS;
+                hasMemberChanges ||
+                hasChanges ||
+                totalRound.parts > 1 ||
+                now - totalSentAt >= UNCHANGED_TOTAL_MILLISECONDS;
             return [
                 ...(mustSendSum ? sumMessages(local, now) : []),
                 ...(mustSendTotal ? totalMessages(local, now) : []),
--- a/src/node/upstream-table/load-board.ts
+++ b/src/node/upstream-table/load-board.ts
@@ -65,6 +65,9 @@
 /** Time for which the report of a node counts, milliseconds: a few reporting intervals. */
 export const REPORT_VALIDITY_MILLISECONDS = 1500;
 
+/** Time for which a sum counts, milliseconds: more than a round in which its parts are sent in turn. */
+const SUM_VALIDITY_MILLISECONDS = 2500;
+
 /** More nodes than a deployment has, with those that were replaced. */
 const MAXIMUM_HEARD_NODES = 4096;
 
@@ -160,7 +163,7 @@
                 count += isValid && ejected.has(upstream) && selection.isNodeCounted(node, now) ? 1 : 0;
             }
             for (const [source, { ejections, at }] of sums) {
-                const isValid = at + REPORT_VALIDITY_MILLISECONDS >= now;
+                const isValid = at + SUM_VALIDITY_MILLISECONDS >= now;
                 count += isValid && selection.isSumCounted(source, now) ? (ejections.get(upstream) ?? 0) : 0;
             }
             return count;
@@ -178,7 +181,7 @@
                 }
             }
             for (const [source, { loads, at }] of sums) {
-                if (at + REPORT_VALIDITY_MILLISECONDS < now) {
+                if (at + SUM_VALIDITY_MILLISECONDS < now) {
                     sums.delete(source);
                     continue;
                 }
--- a/src/node/upstream-table/load-messages.ts
+++ b/src/node/upstream-table/load-messages.ts
@@ -4,10 +4,15 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import * as z from "zod/mini";
+import { createBoundedMap } from "../common/bounded-map.js";
+import { hashToUnit } from "../common/hash.js";
 import type { Load, NodeLoads } from "./load-board.js";
 
-/** Upstreams of one datagram. Keeps it well below the limit of 8 KB. */
-const UPSTREAMS_PER_PART = 120;
+/** Average number of upstreams in one datagram, when there are several. Keeps it well below the limit of 8 KB. */
+const UPSTREAMS_PER_PART = 100;
+
+/** More upstreams than a deployment has. */
+const MAXIMUM_UPSTREAMS = 16_384;
 
 /** Largest body, bytes. Any process on the network can send a datagram. */
 const MAXIMUM_BODY_BYTES = 65_536;
@@ -147,21 +152,33 @@
     return Buffer.concat([Buffer.from(JSON.stringify(head) + SEPARATOR), body]);
 }
 
-/** Encodes sums as bodies of a bounded size. */
-export function encodeSums({ loads, ejections }: LoadSums): readonly Buffer[] {
-    const ids = [...new Set([...loads.keys(), ...ejections.keys()])].sort();
-    const parts = Math.max(1, Math.ceil(ids.length / UPSTREAMS_PER_PART));
-    return Array.from({ length: parts }, (_, part) => {
-        const own = ids.slice(part * UPSTREAMS_PER_PART, (part + 1) * UPSTREAMS_PER_PART);
-        const entries = own.flatMap(id => {
-            const load = loads.get(id);
-            return load === undefined
-                ? []
-                : [[id, Math.round(load.pendingTokens), load.requests, Math.round(load.heldTokens)]];
-        });
-        const ejected = own.flatMap(id => (ejections.has(id) ? [[id, ejections.get(id)]] : []));
-        return encodeBody({ loads: entries, ejected });
-    });
+const positions = createBoundedMap<number>(MAXIMUM_UPSTREAMS);
+
+/** Number of parts for a number of upstreams: a power of two, so that it seldom changes. */
+export function partCount(upstreams: number): number {
+    return 2 ** Math.max(0, Math.ceil(Math.log2(upstreams / UPSTREAMS_PER_PART)));
+}
+
+/** Part of an upstream. It does not depend on the other upstreams. */
+export function partOf(upstream: string, parts: number): number {
+    if (parts === 1) {
+        return 0;
+    }
+    let position = positions.get(upstream);
+    if (position === undefined) {
+        position = hashToUnit(upstream);
+        positions.set(upstream, position);
+    }
+    return Math.floor(position * parts);
+}
+
+/** Encodes one part of sums as the body of a datagram. */
+export function encodeSums({ loads, ejections }: LoadSums, part: number, parts: number): Buffer {
+    const entries = [...loads].flatMap(([id, { pendingTokens, requests, heldTokens }]) =>
+        partOf(id, parts) === part ? [[id, Math.round(pendingTokens), requests, Math.round(heldTokens)]] : [],
+    );
+    const ejected = [...ejections].filter(([id]) => partOf(id, parts) === part);
+    return encodeBody({ loads: entries, ejected });
 }
 
 export function sumDatagram(head: Omit<SumMessage, "kind" | keyof LoadSums>, body: Buffer): Buffer {
