Do not count an engine as free that was not reached

Cause: an engine that is down has no requests in flight, so it was the only free one while all others were full, and each request tried it first.

Change: an engine that was not reached counts as down for the second in which it is avoided. Engines are no longer made suspect beyond it, as their failures need not be shared by single reports.

Result: a test over simulated time.

--- a/src/node/scarcity/__tests__/scarcity.spec.ts
+++ b/src/node/scarcity/__tests__/scarcity.spec.ts
@@ -309,3 +309,14 @@
     assert.equal(later.outcome(), undefined, "the slots are taken");
     assert.equal(fixture.scarcity.waitingRequests(), 1);
 });
+
+test("an engine that was not reached does not count as free while the others are full", async context => {
+    const fixture = createFixture(context, 2);
+    fill(fixture, "e0", 5);
+    fixture.upstreams[1]!.health.recordUnreached(Date.now());
+    const admission = fixture.admit();
+    await fixture.pass(900);
+    assert.equal(admission.outcome(), undefined);
+    await fixture.pass(200);
+    assert.equal(admission.outcome()?.kind, "admitted");
+});
--- a/src/node/scarcity/scarcity.ts
+++ b/src/node/scarcity/scarcity.ts
@@ -233,13 +233,17 @@
         return total;
     };
 
-    const isDown = (upstream: RegisteredUpstream, isModel: boolean, runsOnce: boolean): boolean => {
+    const isDown = (state: ServiceState, upstream: RegisteredUpstream, runsOnce: boolean): boolean => {
         const now = clock.now();
-        const { id } = upstream.entry;
+        const { process, health, entry } = upstream;
+        if (state.isModel) {
+            const isUnreached = health.isUnavailable(now) && !state.load.isFull(process, now);
+            return health.isEjected(now) || isUnreached;
+        }
         return (
-            upstream.health.isEjected(now) ||
-            suspects.isSuspect(upstream.process, runsOnce, now) ||
-            (!isModel && suspects.isEjectedElsewhere(id, options.loads.ejections(id, now), now))
+            health.isEjected(now) ||
+            suspects.isSuspect(process, runsOnce, now) ||
+            suspects.isEjectedElsewhere(entry.id, options.loads.ejections(entry.id, now), now)
         );
     };
 
@@ -256,7 +260,7 @@
             heldTokens,
             pendingTokens,
             slots: upstream.entry.slots >= 1 ? Math.floor(upstream.entry.slots) : state.usualSlots,
-            state: isDown(upstream, state.isModel, runsOnce) ? "down" : isFull ? "full" : "usable",
+            state: isDown(state, upstream, runsOnce) ? "down" : isFull ? "full" : "usable",
         };
     };
 
@@ -442,7 +446,7 @@
                     if (known !== undefined) {
                         return known;
                     }
-                    const count = isDown(upstream, state.isModel, runsOnce)
+                    const count = isDown(state, upstream, runsOnce)
                         ? Infinity
                         : context.ejectionsOf(upstream);
                     ejections.set(upstream.entry.id, count);
