--- a/src/node/upstream-table/data-centre-choice.ts
+++ b/src/node/upstream-table/data-centre-choice.ts
@@ -7,7 +7,7 @@
  * docs/design/data-centres.md.
  */
 import { hashToUnit } from "../common/hash.js";
-import { delayTerms, isFit } from "./expected-delay.js";
+import { delayTerms } from "./expected-delay.js";
 import { delayWithPrice } from "./leaving-cost.js";
 import type { PlacementPrices } from "./leaving-cost.js";
 import type { SpilloverDemand } from "./spillover.js";
@@ -158,10 +158,12 @@
             ? new Map<string, number>()
             : unreadShares(upstreams, context.affinityKey, view);
     const isOwn = ({ entry }: RegisteredUpstream): boolean => entry.dataCentre === view.own;
-    const hasFitOwn = upstreams.some(upstream => isOwn(upstream) && isFit(upstream, context));
-    const candidates = upstreams.map((upstream): Candidate => {
+    const terms = upstreams.map(upstream => {
         const unreadTokens = context.sharedTokens * (shares.get(upstream.entry.id) ?? 1);
-        const { work, penalty, jitter } = delayTerms(upstream, context, unreadTokens);
+        return { upstream, unreadTokens, ...delayTerms(upstream, context, unreadTokens) };
+    });
+    const hasFitOwn = terms.some(({ upstream, isFit }) => isOwn(upstream) && isFit);
+    const candidates = terms.map(({ upstream, unreadTokens, work, penalty, jitter }): Candidate => {
         const crosses = !isOwn(upstream);
         const bytes =
             (crosses && hasFitOwn ? view.crossingBytes : 0) + unreadTokens * view.prices.promptTokenBytes;
--- a/src/node/upstream-table/expected-delay.ts
+++ b/src/node/upstream-table/expected-delay.ts
@@ -38,6 +38,8 @@
     readonly penalty: number;
     /** Random part, milliseconds. */
     readonly jitter: number;
+    /** Nothing but its load speaks against the upstream. */
+    readonly isFit: boolean;
 }
 
 export function isAvoided(upstream: RegisteredUpstream, context: ChoiceContext): boolean {
@@ -52,16 +54,6 @@
     );
 }
 
-/** Whether nothing but its load speaks against an upstream. */
-export function isFit(upstream: RegisteredUpstream, context: ChoiceContext): boolean {
-    return (
-        !isAvoided(upstream, context) &&
-        upstream.coldUntil <= context.now &&
-        upstream.health.failureShare() < UNFIT_FAILURE_SHARE &&
-        !isFull(context.loadOf(upstream), context)
-    );
-}
-
 /** @param ownTokens Prompt tokens of the request's shared prefix that the upstream must process. */
 export function delayTerms(
     upstream: RegisteredUpstream,
@@ -69,16 +61,21 @@
     ownTokens: number,
 ): DelayTerms {
     const load = context.loadOf(upstream);
+    const { health } = upstream;
+    const avoided = isAvoided(upstream, context);
+    const cold = upstream.coldUntil > context.now;
+    const full = isFull(load, context);
     return {
         work:
             context.workOf?.(upstream, load, ownTokens) ??
-            workAtFixedSpeed(load, load.pendingTokens + ownTokens) * Math.max(1, upstream.health.slowness()),
+            workAtFixedSpeed(load, load.pendingTokens + ownTokens) * Math.max(1, health.slowness()),
         penalty:
-            FAILURE_PENALTY_MILLISECONDS * upstream.health.failureShare() +
-            (isAvoided(upstream, context) ? AVOIDED_PENALTY_MILLISECONDS : 0) +
-            (upstream.coldUntil > context.now ? COLD_PENALTY_MILLISECONDS : 0) +
-            (isFull(load, context) ? FULL_PENALTY_MILLISECONDS : 0),
+            FAILURE_PENALTY_MILLISECONDS * health.failureShare() +
+            (avoided ? AVOIDED_PENALTY_MILLISECONDS : 0) +
+            (cold ? COLD_PENALTY_MILLISECONDS : 0) +
+            (full ? FULL_PENALTY_MILLISECONDS : 0),
         jitter: context.random() * MAXIMUM_JITTER_MILLISECONDS,
+        isFit: !avoided && !cold && !full && health.failureShare() < UNFIT_FAILURE_SHARE,
     };
 }
 
--- a/src/node/upstream-table/request-placement.ts
+++ b/src/node/upstream-table/request-placement.ts
@@ -196,7 +196,7 @@
             expectedWork(
                 {
                     load,
-                    averageRequests: averages.record(entry.id, load.requests, now),
+                    averageRequests: request.isEngine ? 0 : averages.record(entry.id, load.requests, now),
                     unreadTokens,
                     ownTokens: request.promptTokens - request.sharedTokens,
                     slots: entry.slots,
