--- a/src/node/scarcity/__tests__/scarcity.spec.ts
+++ b/src/node/scarcity/__tests__/scarcity.spec.ts
@@ -314,7 +314,7 @@
 test("an engine that was not reached does not count as free while the others are full", async context => {
     const fixture = createFixture(context, 2);
     fill(fixture, "e0", 5);
-    fixture.upstreams[1]!.health.recordUnreached(Date.now());
+    fixture.upstreams[1]!.health.recordUnreached(Date.now(), false);
     const admission = fixture.admit();
     await fixture.pass(900);
     assert.equal(admission.outcome(), undefined);
