--- a/src/node/leases/lease-row.ts
+++ b/src/node/leases/lease-row.ts
@@ -1,5 +1,5 @@
 /** Lease row in the table service, and the condition that makes a write depend on the lease. */
-import { z } from "zod";
+import * as z from "zod/mini";
 import type { JsonObject } from "../common/json.js";
 import type { Condition, Transaction } from "../outside-services/table-service.js";
 
@@ -14,8 +14,8 @@
 const leaseRowSchema = z.object({
     holder: z.string(),
     // A decimal string, because JSON numbers lose precision above 2^53.
-    fencing: z.string().regex(/^(0|[1-9]\d*)$/, { error: "must be a decimal number" }),
-    durationMilliseconds: z.number().positive(),
+    fencing: z.string().check(z.regex(/^(0|[1-9]\d*)$/, { error: "must be a decimal number" })),
+    durationMilliseconds: z.number().check(z.positive()),
 });
 
 /** Proof that the sender of a protected write holds the lease. */
@@ -28,7 +28,7 @@
     return `lease/${duty}`;
 }
 
-/** @throws z.ZodError if the value is not a valid lease row. */
+/** @throws Error if the value is not a valid lease row. */
 export function parseLeaseRow(value: JsonObject): LeaseRow {
     const { fencing, ...rest } = leaseRowSchema.parse(value);
     return { ...rest, fencing: BigInt(fencing) };
