Let no plain request wait for a queue that it does not outlast

Cause: a plain request that all upstreams had rejected could wait at its node for half of its time left, and was then sent behind the queue of an upstream, where its time ended.

--- a/src/node/scarcity/admission.ts
+++ b/src/node/scarcity/admission.ts
@@ -157,6 +157,14 @@
     return ((context.waitingAhead + 1) * context.residenceMilliseconds) / Math.max(1, context.ownRequests);
 }
 
+/** Time for which a new request queues at the best upstream that is not down, milliseconds. */
+function shortestQueueMilliseconds({ upstreams, residenceMilliseconds }: AdmissionContext): number {
+    const queues = upstreams
+        .filter(({ state }) => state !== "down")
+        .map(upstream => queueMilliseconds(upstream, residenceMilliseconds));
+    return Math.min(...queues);
+}
+
 /**
  * Whether the free slots are no more than the more urgent requests that wait at other nodes. While much is free,
  * these wait for something else, such as an upstream of their version.
@@ -180,16 +188,11 @@
     if (isDown || (context.hasFreeUpstream && isNext)) {
         return { kind: "send" };
     }
-    const limit = waitLimit(needs, residenceMilliseconds);
-    if (!needs.isModel && context.hasUpstream && isNext) {
-        const queue = Math.min(
-            ...upstreams
-                .filter(({ state }) => state === "usable")
-                .map(upstream => queueMilliseconds(upstream, residenceMilliseconds)),
-        );
-        if (queue <= limit) {
-            return { kind: "send" };
-        }
+    const begin = waitLimit(needs, residenceMilliseconds);
+    // A plain upstream that has just had room still has its queue, which the request does not outlast.
+    const limit = needs.isModel ? begin : begin - shortestQueueMilliseconds(context);
+    if (!needs.isModel && context.hasUpstream && isNext && limit > 0) {
+        return { kind: "send" };
     }
     if (context.waiting === 0 && isMostlyIdle(upstreams)) {
         return context.hasUpstream || limit <= 0 ? { kind: "send" } : { kind: "wait", milliseconds: limit };
