Name the end of the queue as the time to return to a full plain service

Cause: a request that was rejected because it does not outlast the queue was told to return after 50 ms, when the queue was still there, so callers were rejected again and again.

Change: Retry-After is at least the expected queue of the best upstream.

--- a/src/node/scarcity/__tests__/admission.spec.ts
+++ b/src/node/scarcity/__tests__/admission.spec.ts
@@ -85,7 +85,8 @@
 test("a plain request does not wait for an upstream whose queue it would not outlast", () => {
     const full = createUpstream({ requests: 30, state: "full" });
     const late = { ...PLAIN, targetMilliseconds: -300, remainingMilliseconds: 180 };
-    assert.equal(decide([full, full], late).kind, "reject");
+    const admission = decide([full, full], late);
+    assert.ok(admission.kind === "reject" && admission.retryAfterSeconds >= 0.2, "when the queue has ended");
     const shortQueue = createUpstream({ requests: 8, state: "full" });
     assert.equal(decide([full, shortQueue], late).kind, "wait");
 });
--- a/src/node/scarcity/admission.ts
+++ b/src/node/scarcity/admission.ts
@@ -190,14 +190,15 @@
     }
     const begin = waitLimit(needs, residenceMilliseconds);
     // A plain upstream that has just had room still has its queue, which the request does not outlast.
-    const limit = needs.isModel ? begin : begin - shortestQueueMilliseconds(context);
+    const queue = needs.isModel ? 0 : shortestQueueMilliseconds(context);
+    const limit = begin - queue;
     if (!needs.isModel && context.hasUpstream && isNext && limit > 0) {
         return { kind: "send" };
     }
     if (context.waiting === 0 && isMostlyIdle(upstreams)) {
         return context.hasUpstream || limit <= 0 ? { kind: "send" } : { kind: "wait", milliseconds: limit };
     }
-    const expected = expectedWaitMilliseconds(context);
+    const expected = Math.max(queue, expectedWaitMilliseconds(context));
     if (limit <= 0) {
         return {
             kind: "reject",
