Count the wait of a pipelined request as time of its caller

A request that waits until those before it on its connection have ended got its caller's whole time again when its turn came, so that it could run after its caller had given up.

--- a/src/node/client-limits/client-limits.ts
+++ b/src/node/client-limits/client-limits.ts
@@ -100,6 +100,7 @@
             guardConnections(server, {
                 ...options,
                 budget,
+                now: clock.now,
                 onLimit: limit => limitLog.record(listener, limit),
                 onError: (error, message) => recordError(listener, error, tryRequestId(requestIdOf, message)),
             }),
--- a/src/node/client-limits/connection-guard.ts
+++ b/src/node/client-limits/connection-guard.ts
@@ -28,6 +28,8 @@
     readonly answerMilliseconds: () => number;
     /** Time for the head of a request, milliseconds. */
     readonly headMilliseconds: () => number;
+    /** Monotonic time, milliseconds. */
+    readonly now: () => number;
     /** Handles a request. The next one of its connection is handled after the response has closed. */
     readonly handle: (exchange: GuardedExchange) => void;
     readonly onLimit: (limit: ClientLimit) => void;
@@ -40,6 +42,8 @@
     readonly message: IncomingMessage;
     readonly response: ServerResponse;
     readonly socket: Socket;
+    /** Time for which it has waited for its turn, milliseconds. */
+    readonly waitedMilliseconds: number;
     /** Sets the size of the buffers that hold its body, bytes. */
     holdBody(bytes: number): void;
     /** Sets the size of the part of its answer that the client has not read, bytes. */
@@ -105,6 +109,8 @@
     readonly message: IncomingMessage;
     readonly response: ServerResponse;
     readonly arrival: Arrival;
+    /** Time from which it waits for its turn; absent where it was its turn at once. */
+    waitsSince?: number;
 }
 
 function objectBytesOf({ rawHeaders }: IncomingMessage, baseBytes: number): number {
@@ -161,7 +167,7 @@
         return exchange;
     }
 
-    begin(exchange: PendingExchange): GuardedExchange {
+    begin(exchange: PendingExchange, now: number): GuardedExchange {
         this.current = exchange;
         this.runningObjectBytes = objectBytesOf(exchange.message, RUNNING_OBJECT_BYTES);
         this.update();
@@ -169,6 +175,7 @@
             message: exchange.message,
             response: exchange.response,
             socket: this.socket,
+            waitedMilliseconds: Math.floor(now - (exchange.waitsSince ?? now)),
             holdBody: bytes => {
                 if (this.current === exchange) {
                     this.bodyBytes = bytes;
@@ -275,7 +282,7 @@
         };
         idle.delete(connection);
         clearTimeout(connection.headTimer);
-        const exchange = connection.begin(pending);
+        const exchange = connection.begin(pending, options.now());
         // Without a listener, an error of a write to a connection that has just closed would end the process.
         response.on("error", fail);
         response.once("close", () => {
@@ -310,12 +317,13 @@
         if (connection === undefined || connection.socket.destroyed) {
             return;
         }
-        const exchange = { message, response, arrival };
+        const exchange: PendingExchange = { message, response, arrival };
         if (connection.current === undefined) {
             begin(connection, exchange);
             return;
         }
         waitingCount += 1;
+        exchange.waitsSince = options.now();
         connection.add(exchange);
         connection.socket.pause();
     };
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -166,6 +166,14 @@
     return Math.min(typicalMilliseconds, route.timeoutMilliseconds) < remainingMilliseconds;
 }
 
+/** Subtracts the time for which a request has waited for its turn from the time that its caller has left. */
+function withoutWaiting(head: RequestHead, waitedMilliseconds: number): RequestHead {
+    const { remainingMilliseconds } = head;
+    return remainingMilliseconds === undefined || waitedMilliseconds === 0
+        ? head
+        : { ...head, remainingMilliseconds: Math.max(0, remainingMilliseconds - waitedMilliseconds) };
+}
+
 /** Ids of the prompt's parts for the log, shortened to a bounded length. */
 function describePromptParts({ promptParts }: RequestHead): string | undefined {
     return promptParts.length === 0
@@ -331,7 +339,7 @@
     const serveExchange = (exchange: GuardedExchange): void => {
         const { message, response } = exchange;
         const arrivedAt = clock.now();
-        const head = codec.decodeRequest(message.headers);
+        const head = withoutWaiting(codec.decodeRequest(message.headers), exchange.waitedMilliseconds);
         const trace = options.requestLog.begin(head.attemptId ?? "(none)");
         openResponses.add(response);
         // A slow reader gets the last bytes of its answer some time after the request ended.
