Pass sums on sooner in small data centres

With sums every 0.1 s, loads at 24 nodes were older (138 ms) than with direct reports (75 ms). Where a data centre has at most 8 other nodes, an aggregating node now passes a change on after 10 ms, at most every 50 ms.

--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -16,6 +16,7 @@
 import type { AggregationPlan } from "./aggregation-plan.js";
 import { createLoadAggregation } from "./load-aggregation.js";
 import { decodeAggregate, parseDatagram } from "./load-messages.js";
+import type { LoadSums } from "./load-messages.js";
 import type { Load, LoadBoard } from "./load-board.js";
 import { createNewsRelay } from "./news-relay.js";
 
@@ -28,6 +29,13 @@
 /** Time for which an early report collects what it sends, milliseconds. One crash breaks many requests. */
 const EARLY_REPORT_MILLISECONDS = 10;
 
+/**
+ * Interval of sums in data centres with few other nodes, milliseconds, and the largest number of those. Direct
+ * reports would be newer there than sums at the usual interval, and the cost of more sums is small.
+ */
+const PROMPT_SUM_MILLISECONDS = 50;
+const MAXIMUM_PROMPT_MEMBERS = 8;
+
 /** Intervals after which an unchanged load is sent again, in case datagrams were lost. */
 const REPEAT_AFTER_INTERVALS = 5;
 
@@ -230,6 +238,8 @@
     let isOpen = false;
     let early: NodeJS.Timeout | undefined;
     let earlyNews: NodeJS.Timeout | undefined;
+    let earlySums: NodeJS.Timeout | undefined;
+    let sumsSentAt = -Infinity;
     let loggedRole = "member";
 
     const sendNews = (): void => {
@@ -245,6 +255,32 @@
         send(newsForOthers.take(now), remote);
     };
 
+    const ownSums = (): LoadSums => ({
+        loads: board.ownLoads(),
+        ejections: new Map(options.ejected().map(id => [id, 1])),
+    });
+
+    const sendSums = (): void => {
+        const now = clock.now();
+        sumsSentAt = now;
+        const own = { ...ownSums(), sequence };
+        for (const { address, datagram } of aggregation.messages(own, options.isIsolated(), now)) {
+            socket.send(datagram, options.port, address);
+        }
+    };
+
+    /** Passes a change on before the next interval where the data centre is small. */
+    const sendSumsSoon = (now: number): void => {
+        const isPrompt = options.plan().members.size <= MAXIMUM_PROMPT_MEMBERS;
+        if (isOpen && isPrompt && earlySums === undefined && aggregation.isAggregating(now)) {
+            const pause = Math.max(EARLY_REPORT_MILLISECONDS, sumsSentAt + PROMPT_SUM_MILLISECONDS - now);
+            earlySums = setTimeout(() => {
+                earlySums = undefined;
+                sendSums();
+            }, pause);
+        }
+    };
+
     const passOn = (news: WireNews, isOfDataCentre: boolean, now: number): void => {
         if (!aggregation.isAggregating(now)) {
             return;
@@ -284,6 +320,7 @@
         if (aggregation.recordReport(report, now)) {
             board.report(node, loads, ejected, now);
             options.peerStates.record(node, isIsolated, now);
+            sendSumsSoon(now);
         }
         if (news !== undefined) {
             merge(news, now);
@@ -296,6 +333,7 @@
         switch (message.kind) {
             case "sum":
                 aggregation.recordSum(message, now);
+                sendSumsSoon(now);
                 return;
             case "total":
                 aggregation.recordTotal(message, now);
@@ -398,7 +436,7 @@
             sentRevision = board.revision;
             sequence += plan.isAggregated ? 1 : 0;
             const loads = new Map(board.ownLoads());
-            aggregation.recordOwn({ sequence, loads, ejections: new Map(ejected.map(id => [id, 1])) });
+            aggregation.recordOwn({ ...ownSums(), loads, sequence });
             const fallback = isFallback ? true : undefined;
             const content = plan.isAggregated ? { ...allNews, sequence, fallback } : news;
             const datagram = encode(options.node, loads, ejected, content);
@@ -412,13 +450,8 @@
                 newsForOthers.add(news, now);
             }
             sendNews();
-            const own = {
-                sequence,
-                loads: board.ownLoads(),
-                ejections: new Map(ejected.map(id => [id, 1])),
-            };
-            for (const { address, datagram } of aggregation.messages(own, isolated === true, now)) {
-                socket.send(datagram, options.port, address);
+            if (earlySums === undefined) {
+                sendSums();
             }
         }
     };
@@ -439,6 +472,7 @@
                 clearInterval(timer);
                 clearTimeout(early);
                 clearTimeout(earlyNews);
+                clearTimeout(earlySums);
                 isOpen = false;
                 socket.close();
             };
