--- a/src/node/upstream-table/__tests__/data-centre-choice.spec.ts
+++ b/src/node/upstream-table/__tests__/data-centre-choice.spec.ts
@@ -141,9 +141,11 @@
     assert.equal(retried.placement?.reason, "retry");
 });
 
-test("a load test and a canary stay on their upstreams in all data centres", () => {
+test("while a shift compares two versions, the requests of both are placed by load alone", () => {
     const versionPreference = { matches: () => true, upstreamShare: 0.5, allowsOthers: true };
-    assert.equal(choose(engines, {}, { versionPreference }).placement, undefined);
     const tested = { ...versionPreference, upstreamShare: 1, testedUpstreams: 1 };
-    assert.equal(choose(engines, {}, { versionPreference: tested }).placement, undefined);
+    const old = { ...versionPreference, upstreamShare: 1 };
+    for (const preference of [versionPreference, tested, old]) {
+        assert.equal(choose(engines, {}, { versionPreference: preference }).placement, undefined);
+    }
 });
--- a/src/node/upstream-table/upstream-choice.ts
+++ b/src/node/upstream-table/upstream-choice.ts
@@ -161,11 +161,8 @@
                 hasColdAllowance(upstream, context.now, context.coldAllowance(upstream))),
     );
     const candidates = candidatesOf(upstreams, allowed, context);
-    // A shift compares its versions on the upstreams that it names, wherever they are.
-    const isConcentrated =
-        context.versionPreference?.testedUpstreams !== undefined ||
-        (context.versionPreference?.upstreamShare ?? 1) < 1;
-    if (context.dataCentres !== undefined && !isConcentrated) {
+    // A shift compares the answers of its versions, which must not differ by the way to their upstreams.
+    if (context.dataCentres !== undefined && context.versionPreference === undefined) {
         return chooseAcrossDataCentres(candidates, context, context.dataCentres);
     }
     const preferred =
