Mend what the review of the request path found

- Aggregating nodes pass on a count of waiting requests that returns to an earlier value; it was held back for 0.9 s, so that others yielded to requests that no longer waited (news-relay.spec.ts).
- A service in which requests wait is not forgotten; a connection that ended before a request was written does not count as a full upstream; attempts without a connection keep their limits after a rejection; a resumed stream ends empty only when a second upstream has confirmed it.

--- a/src/node/client-limits/connection-guard.ts
+++ b/src/node/client-limits/connection-guard.ts
@@ -2,6 +2,7 @@
  * Bounds what the connections of an HTTP server may do: their number, the requests that run on one at the same time,
  * and the time for which an answer stays unread. Errors of one exchange end its connection only.
  */
+import { resetConnection } from "../common/reset-connection.js";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { hasBody } from "./body-reader.js";
@@ -142,13 +143,23 @@
     shed(_resource: HeldResource): void {
         this.isShed = true;
         if (this.shedExchange === undefined || this.waiting.length > 0) {
-            this.socket.destroy();
+            this.cut();
         }
         else {
             this.shedExchange();
         }
     }
 
+    /** Closes the connection. An answer that has begun is reset: without framing, it would look complete. */
+    cut(): void {
+        if (this.current?.response.headersSent === true) {
+            resetConnection(this.socket);
+        }
+        else {
+            this.socket.destroy();
+        }
+    }
+
     add(exchange: PendingExchange): void {
         this.waiting.push(exchange);
         this.waitingBodyBytes = hasBody(exchange.message) ? READ_BYTES : this.waitingBodyBytes;
@@ -278,7 +289,7 @@
             if ((error as NodeJS.ErrnoException).code !== WRITE_AFTER_CLOSE_CODE) {
                 options.onError(error instanceof Error ? error : new Error(String(error)), message);
             }
-            socket.destroy();
+            connection.cut();
         };
         idle.delete(connection);
         clearTimeout(connection.headTimer);
@@ -375,6 +386,7 @@
             current === undefined || !(current.message.complete || current.response.headersSent);
         const status = PARSE_STATUSES[code] ?? (isMalformed ? HTTP_BAD_REQUEST : undefined);
         if (status === undefined || !canAnswer || !socket.writable) {
+            connections.get(socket)?.cut();
             socket.destroy();
             return;
         }
@@ -384,10 +396,13 @@
         );
     });
     server.on("timeout", (socket: Socket) => {
-        if (connections.get(socket)?.current !== undefined) {
-            options.onLimit("unread answer");
+        const connection = connections.get(socket);
+        if (connection?.current === undefined) {
+            socket.destroy();
+            return;
         }
-        socket.destroy();
+        options.onLimit("unread answer");
+        connection.cut();
     });
     // Without a listener, a failure to accept a connection would end the process.
     server.on("error", error => options.onError(error, undefined));
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -384,7 +384,7 @@
             if ((await options.hasCrashed?.()) === true) {
                 return { kind: "lost", reason: "the upstream crashed after an event", isBrokenOff: true };
             }
-            if (!settled && !options.mayRetryUnframed && sink.endUnconfirmed()) {
+            if (!settled && !options.mayRetryUnframed && sink.endUnconfirmed(false)) {
                 return { kind: "delivered", status };
             }
             return {
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -8,6 +8,7 @@
 import { endAfterRest } from "../client-limits/unread-body.js";
 import type { Clock } from "../common/clock.js";
 import { addListener } from "../common/listener.js";
+import { resetConnection } from "../common/reset-connection.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { RequestLog, RequestTrace } from "../logging/request-log.js";
 import type { Route, Workspace } from "../routes/entities.js";
@@ -220,8 +221,14 @@
                 response.setHeader("connection", "close");
             }
             if (!reader.cancel("shed", "the memory for requests is exhausted")) {
-                // The request may run at an upstream, so no status may say that it has not.
-                socket.destroy();
+                // The request may run at an upstream, so no status may say that it has not. An answer that has
+                // begun without framing would look complete at a regular end.
+                if (response.headersSent) {
+                    resetConnection(socket);
+                }
+                else {
+                    socket.destroy();
+                }
             }
         });
         try {
--- a/src/node/forwarding/request-end.ts
+++ b/src/node/forwarding/request-end.ts
@@ -30,6 +30,8 @@
     readonly codec: HeaderCodec;
     readonly attemptId: string | undefined;
     readonly sink: ResponseSink;
+    /** Two upstreams have ended the stream after the same event. */
+    readonly isEndAgreed: boolean;
     /** Last error response of an upstream, if any. */
     readonly lastFailure: BufferedResponse | undefined;
     /** `Retry-After` of the last upstream that rejected the request, seconds. */
@@ -45,7 +47,7 @@
 
 export function endRequest(
     step: NextStep,
-    { response, codec, attemptId, sink, lastFailure, retryAfterSeconds }: RequestEndContext,
+    { response, codec, attemptId, sink, lastFailure, retryAfterSeconds, isEndAgreed }: RequestEndContext,
 ): Pick<RequestEnd, "outcome" | "status" | "reason"> {
     const respond = (status: number, message: string, retryAfter?: number): void =>
         sendRouterResponse(response, codec, attemptId, status, message, retryAfter);
@@ -65,7 +67,7 @@
             sink.sendBuffered(lastFailure!);
             return { outcome: "passed-failure", status: lastFailure!.status, reason: undefined };
         case "end-unconfirmed":
-            if (sink.endUnconfirmed()) {
+            if (sink.endUnconfirmed(isEndAgreed)) {
                 return { outcome: "delivered", status: response.statusCode, reason: step.reason };
             }
             respond(HTTP_BAD_GATEWAY, step.reason);
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -834,6 +834,8 @@
                 const step = nextStep(result, progress(canHandOver || nextChoice() !== undefined));
                 const waitsAgain =
                     step.kind === "reject" &&
+                    result.kind === "not-run" &&
+                    result.isUnreached !== true &&
                     exchange !== undefined &&
                     rejections > 0 &&
                     rejections < MAXIMUM_REJECTIONS_WITH_WAITS &&
@@ -852,6 +854,7 @@
             codec,
             attemptId: head.attemptId,
             sink,
+            isEndAgreed,
             lastFailure,
             retryAfterSeconds,
         });
--- a/src/node/forwarding/response-sink.ts
+++ b/src/node/forwarding/response-sink.ts
@@ -42,8 +42,10 @@
      * Ends a stream whose upstream ended its connection, which may also have been a crash. Returns false and
      * keeps it open when an event is incomplete, or the framing would state that the stream is complete. A
      * stream without new events ends empty if its caller resumed it, and is kept open otherwise.
+     *
+     * @param mayBegin Whether another upstream has confirmed the end of a stream without new events.
      */
-    endUnconfirmed(): boolean;
+    endUnconfirmed(mayBegin: boolean): boolean;
     end(): void;
     /** Sends a response that was read to its end. */
     sendBuffered(buffered: BufferedResponse): void;
@@ -154,11 +156,11 @@
             return true;
         },
         isUnframed: () => hasBegun && !isChunked,
-        endUnconfirmed: () => {
+        endUnconfirmed: mayBegin => {
             if (splitter.pendingBytes() > 0) {
                 return false;
             }
-            if (!hasBegun && streamHead !== undefined && options.lastEventId !== undefined) {
+            if (mayBegin && !hasBegun && streamHead !== undefined && options.lastEventId !== undefined) {
                 begin(streamHead.status, streamHead.headers, false);
             }
             if (!hasBegun || isChunked) {
--- a/src/node/scarcity/scarcity.ts
+++ b/src/node/scarcity/scarcity.ts
@@ -205,6 +205,8 @@
     const stateOf = ({ name, engineTokens, slots }: Service, route: Route): ServiceState => {
         const known = services.get(name);
         if (known !== undefined) {
+            // The map forgets what was set the longest time ago, and requests may wait here.
+            services.set(name, known);
             return known;
         }
         const isModel = engineTokens !== undefined;
@@ -540,7 +542,7 @@
                                     suspect(upstream);
                                 }
                             }
-                            else if (result.status !== HTTP_MISDIRECTED) {
+                            else if (result.status !== undefined && result.status !== HTTP_MISDIRECTED) {
                                 load.recordFull(process, now);
                             }
                         }
--- a/src/node/upstream-table/news-relay.ts
+++ b/src/node/upstream-table/news-relay.ts
@@ -30,6 +30,12 @@
     brittle: 1,
 };
 
+/**
+ * Number of leading fields that name what a value is about, in lists whose values change. A changed value is passed
+ * on at once, also one that was passed on before the value in between.
+ */
+const IDENTITY_FIELDS: Readonly<Record<string, number>> = { waiting: 4 };
+
 interface NewsItem {
     /** Names of the list, from the outermost. */
     readonly path: readonly string[];
@@ -89,22 +95,31 @@
 }
 
 export function createNewsRelay(): NewsRelay {
-    const passedOn = createBoundedMap<{ readonly at: number; readonly isRepeated: boolean }>(
-        MAXIMUM_KNOWN_ITEMS,
-    );
+    const passedOn = createBoundedMap<{
+        readonly at: number;
+        readonly isRepeated: boolean;
+        readonly text: string;
+    }>(MAXIMUM_KNOWN_ITEMS);
     let pending: NewsItem[] = [];
 
     return {
         add: (news, now) => {
             for (const [path, values] of listsOf(news, [])) {
                 for (const value of values) {
-                    const key = `${path.join(".")} ${JSON.stringify(withAge(path, value, () => 0))}`;
+                    const name = path.join(".");
+                    const text = JSON.stringify(withAge(path, value, () => 0));
+                    const fields = IDENTITY_FIELDS[name];
+                    const isChanging = fields !== undefined && Array.isArray(value);
+                    const identity = isChanging ? JSON.stringify(value.slice(0, fields)) : text;
+                    const key = `${name} ${identity}`;
                     const known = passedOn.get(key);
+                    const isChanged = known !== undefined && known.text !== text;
                     const elapsed = now - (known?.at ?? -Infinity);
                     const pause =
                         known?.isRepeated === true ? REPEAT_MILLISECONDS : FIRST_REPEAT_MILLISECONDS;
-                    if (elapsed >= pause) {
-                        passedOn.set(key, { at: now, isRepeated: elapsed < FORGET_MILLISECONDS });
+                    if (isChanged || elapsed >= pause) {
+                        const isRepeated = !isChanged && elapsed < FORGET_MILLISECONDS;
+                        passedOn.set(key, { at: now, isRepeated, text });
                         pending.push({ path, value, at: now });
                     }
                 }
