--- a/src/node/replica/feed-monitor.ts
+++ b/src/node/replica/feed-monitor.ts
@@ -20,7 +20,7 @@
 
 /**
  * Time since the last change in which the feeds are expected to return early, milliseconds. They then wait long,
- * as a wait that ends without a change is a call in vain.
+ * as a wait that ends without a change is a wasted call.
  */
 const BUSY_MILLISECONDS = 1500;
 
@@ -37,10 +37,10 @@
 const CHECK_INTERVAL_MILLISECONDS = 500;
 
 /**
- * Checks in vain, beyond one per `FORGIVEN_MILLISECONDS`, after which revisions are not relied on: the store
+ * Checks that found nothing, beyond one per `FORGIVEN_MILLISECONDS`, after which revisions are not relied on: the store
  * counts in larger steps, or other writers use tables that no node reads.
  */
-const MAXIMUM_VAIN_CHECKS = 10;
+const MAXIMUM_FRUITLESS_CHECKS = 10;
 const FORGIVEN_MILLISECONDS = 2000;
 
 /** Time for which revisions are then not relied on, milliseconds. */
@@ -90,8 +90,8 @@
     /** Monotonic time of the last response with rows. */
     let changedAt = -Infinity;
     let livenessCheckedAt = -Infinity;
-    let vainChecks = 0;
-    let vainChecksAt = 0;
+    let fruitlessChecks = 0;
+    let fruitlessChecksAt = 0;
     let untrustedUntil = -Infinity;
 
     /** Oldest revision that the table may lack, as no known row has it. */
@@ -195,11 +195,11 @@
             return undefined;
         },
         recordCheck: (hasFound, now) => {
-            const forgiven = (now - vainChecksAt) / FORGIVEN_MILLISECONDS;
-            vainChecks = Math.max(0, vainChecks - forgiven) + (hasFound ? 0 : 1);
-            vainChecksAt = now;
-            if (vainChecks > MAXIMUM_VAIN_CHECKS) {
-                vainChecks = 0;
+            const forgiven = (now - fruitlessChecksAt) / FORGIVEN_MILLISECONDS;
+            fruitlessChecks = Math.max(0, fruitlessChecks - forgiven) + (hasFound ? 0 : 1);
+            fruitlessChecksAt = now;
+            if (fruitlessChecks > MAXIMUM_FRUITLESS_CHECKS) {
+                fruitlessChecks = 0;
                 untrustedUntil = now + UNTRUSTED_MILLISECONDS;
             }
         },
--- a/src/node/upstream-table/load-aggregation.ts
+++ b/src/node/upstream-table/load-aggregation.ts
@@ -25,7 +25,7 @@
 const PREPARATION_MILLISECONDS = 700;
 
 /** Time for which messages that may lack reports are ignored after one that does not, milliseconds. */
-const UNSURE_IGNORED_MILLISECONDS = 800;
+const INCOMPLETE_IGNORED_MILLISECONDS = 800;
 
 /** Silence of the aggregating nodes after which a node reports to its peers directly, milliseconds. */
 const FALLBACK_MILLISECONDS = 500;
@@ -164,7 +164,7 @@
     /** Nodes that sums and totals cover: monotonic time of their last report. */
     const covered = new Map<string, { readonly at: number; readonly isIsolated: boolean }>();
     /** Last sender of a total, or of the sum of a data centre, that had all reports. */
-    const sureSenders = new Map<string, { readonly sender: string; readonly at: number }>();
+    const completeSenders = new Map<string, { readonly sender: string; readonly at: number }>();
     const sequences = new Map<string, { readonly sequence: number; readonly at: number }>();
     let ownReports: readonly OwnReport[] = [];
     let totalAt = -Infinity;
@@ -206,7 +206,7 @@
         heardAt = now;
     };
 
-    const isUnsureAt = (now: number): boolean =>
+    const mayLackReportsAt = (now: number): boolean =>
         now - heardAt > SILENCE_MILLISECONDS || now - preparedSince < PREPARATION_MILLISECONDS;
 
     const isAggregating = (now: number): boolean => {
@@ -219,13 +219,17 @@
     };
 
     /** Whether a message is to be ignored because a sender of the same kind has all reports. */
-    const isSuperseded = (kind: string, sender: string, isUnsure: boolean, now: number): boolean => {
-        const sure = sureSenders.get(kind);
-        if (!isUnsure) {
-            sureSenders.set(kind, { sender, at: now });
+    const isSuperseded = (kind: string, sender: string, mayLackReports: boolean, now: number): boolean => {
+        const complete = completeSenders.get(kind);
+        if (!mayLackReports) {
+            completeSenders.set(kind, { sender, at: now });
             return false;
         }
-        return sure !== undefined && sure.sender !== sender && now - sure.at < UNSURE_IGNORED_MILLISECONDS;
+        return (
+            complete !== undefined &&
+            complete.sender !== sender &&
+            now - complete.at < INCOMPLETE_IGNORED_MILLISECONDS
+        );
     };
 
     const usesTotal = (now: number): boolean =>
@@ -277,9 +281,9 @@
                 covered.delete(key);
             }
         }
-        for (const [key, { at }] of sureSenders) {
+        for (const [key, { at }] of completeSenders) {
             if (!isValid(at, now)) {
-                sureSenders.delete(key);
+                completeSenders.delete(key);
             }
         }
         for (const [key, { at }] of sequences) {
@@ -295,14 +299,14 @@
     };
 
     /** Nodes of other data centres that hear from no aggregating node of their own. */
-    const guests = (): readonly ReportingNode[] => {
+    const remoteFallbackNodes = (): readonly ReportingNode[] => {
         const { members, peers } = plan();
         return [...reports.values()].flatMap(({ node, isFallback }) =>
             isFallback && !members.has(node) ? (peers.get(node) ?? []) : [],
         );
     };
 
-    const receivers = (): readonly ReportingNode[] => [...plan().members.values(), ...guests()];
+    const receivers = (): readonly ReportingNode[] => [...plan().members.values(), ...remoteFallbackNodes()];
 
     /** Parts that are sent now, of as many as the sum has. A sum never gets fewer parts again. */
     const nextParts = (round: PartRound, upstreams: number): readonly number[] => {
@@ -317,11 +321,18 @@
         sequence += 1;
         sumSentAt = now;
         hasMemberChanges = false;
-        const isUnsure = isUnsureAt(now);
+        const mayLackReports = mayLackReportsAt(now);
         return nextParts(sumRound, own.loads.size).flatMap(part => {
             const { parts } = sumRound;
             const datagram = sumDatagram(
-                { sender: options.node, dataCentre: options.dataCentre, sequence, part, parts, isUnsure },
+                {
+                    sender: options.node,
+                    dataCentre: options.dataCentre,
+                    sequence,
+                    part,
+                    parts,
+                    mayLackReports,
+                },
                 encodeSums(own, part, parts),
             );
             return plan().remoteAggregators.map(({ address }) => ({ address, datagram }));
@@ -348,7 +359,7 @@
         totalSentAt = now;
         hasChanges = false;
         const { members } = plan();
-        const isUnsure = isUnsureAt(now);
+        const mayLackReports = mayLackReportsAt(now);
         const chosen = nextParts(totalRound, countUpstreams(own));
         const { parts } = totalRound;
         const total = addSums([own, ...remoteSums(chosen, parts)]);
@@ -358,7 +369,7 @@
             return bodies.map(({ part, body }) => ({
                 address,
                 datagram: totalDatagram(
-                    { sender: options.node, sequence, part, parts, included, isUnsure },
+                    { sender: options.node, sequence, part, parts, included, mayLackReports },
                     body,
                 ),
             }));
@@ -421,7 +432,7 @@
             if (
                 dataCentre === options.dataCentre ||
                 !isNewer(`sum ${sender}`, message.sequence, now) ||
-                isSuperseded(`sum ${dataCentre}`, sender, message.isUnsure, now)
+                isSuperseded(`sum ${dataCentre}`, sender, message.mayLackReports, now)
             ) {
                 return;
             }
@@ -446,11 +457,11 @@
             if (
                 rank === 0 ||
                 !isNewer(`total ${sender}`, message.sequence, now) ||
-                isSuperseded("total", sender, message.isUnsure, now)
+                isSuperseded("total", sender, message.mayLackReports, now)
             ) {
                 return;
             }
-            if (rank === 1 && aggregators[0]?.id === sender && !message.isUnsure) {
+            if (rank === 1 && aggregators[0]?.id === sender && !message.mayLackReports) {
                 precedingAt = now;
             }
             if (parts !== totalParts) {
--- a/src/node/upstream-table/load-messages.ts
+++ b/src/node/upstream-table/load-messages.ts
@@ -35,7 +35,7 @@
     readonly part: number;
     readonly parts: number;
     /** The sender may lack reports of its nodes. */
-    readonly isUnsure: boolean;
+    readonly mayLackReports: boolean;
 }
 
 /** Sum over all nodes, for the nodes of the sender's data centre. */
@@ -48,7 +48,7 @@
     /** Sequence number of the receiver's report that the sum includes; -1 when the sender has none. */
     readonly included: number;
     /** The sender may lack reports of its nodes. */
-    readonly isUnsure: boolean;
+    readonly mayLackReports: boolean;
 }
 
 /** Nodes that the sums of the sender cover. */
@@ -128,14 +128,32 @@
 export function decodeAggregate(value: unknown): AggregateMessage {
     const message = wireMessage.parse(value);
     if ("sum" in message) {
-        const [sender, dataCentre, sequence, part, parts, unsure] = message.sum;
-        const isUnsure = unsure === 1;
-        return { kind: "sum", sender, dataCentre, sequence, part, parts, isUnsure, ...decodeSums(message) };
+        const [sender, dataCentre, sequence, part, parts, incomplete] = message.sum;
+        const mayLackReports = incomplete === 1;
+        return {
+            kind: "sum",
+            sender,
+            dataCentre,
+            sequence,
+            part,
+            parts,
+            mayLackReports,
+            ...decodeSums(message),
+        };
     }
     if ("total" in message) {
-        const [sender, sequence, part, parts, included, unsure] = message.total;
-        const isUnsure = unsure === 1;
-        return { kind: "total", sender, sequence, part, parts, included, isUnsure, ...decodeSums(message) };
+        const [sender, sequence, part, parts, included, incomplete] = message.total;
+        const mayLackReports = incomplete === 1;
+        return {
+            kind: "total",
+            sender,
+            sequence,
+            part,
+            parts,
+            included,
+            mayLackReports,
+            ...decodeSums(message),
+        };
     }
     if ("nodes" in message) {
         const nodes = message.covered.map(([id, age, isolated]) => ({ id, age, isIsolated: isolated === 1 }));
@@ -182,13 +200,13 @@
 }
 
 export function sumDatagram(head: Omit<SumMessage, "kind" | keyof LoadSums>, body: Buffer): Buffer {
-    const { sender, dataCentre, sequence, part, parts, isUnsure } = head;
-    return withHead({ sum: [sender, dataCentre, sequence, part, parts, isUnsure ? 1 : 0] }, body);
+    const { sender, dataCentre, sequence, part, parts, mayLackReports } = head;
+    return withHead({ sum: [sender, dataCentre, sequence, part, parts, mayLackReports ? 1 : 0] }, body);
 }
 
 export function totalDatagram(head: Omit<TotalMessage, "kind" | keyof LoadSums>, body: Buffer): Buffer {
-    const { sender, sequence, part, parts, included, isUnsure } = head;
-    return withHead({ total: [sender, sequence, part, parts, included, isUnsure ? 1 : 0] }, body);
+    const { sender, sequence, part, parts, included, mayLackReports } = head;
+    return withHead({ total: [sender, sequence, part, parts, included, mayLackReports ? 1 : 0] }, body);
 }
 
 export function nodesDatagrams(sender: string, nodes: readonly CoveredNode[]): readonly Buffer[] {
--- a/src/node/upstream-table/upstream-speeds.ts
+++ b/src/node/upstream-table/upstream-speeds.ts
@@ -86,7 +86,7 @@
 
 /**
  * Interval between reports, and the number of processes in one. With 16 peers this is about 1 KB/s, of the 5 KB/s
- * that a node may use for control.
+ * that a node may use for control. Behind aggregating nodes it grows with the nodes, see docs/CAPACITY.md.
  */
 const REPORT_INTERVAL_MILLISECONDS = 10_000;
 const MAXIMUM_REPORTED_PROCESSES = 8;
