--- a/src/node/client-limits/connection-guard.ts
+++ b/src/node/client-limits/connection-guard.ts
@@ -66,7 +66,7 @@
     waiting(): number;
 }
 
-/** Objects of a request that waits for its turn, bytes on the heap; estimated: 5 KB. */
+/** Objects of a request that waits for its turn, bytes on the heap. An estimate, rounded up. */
 const WAITING_OBJECT_BYTES = 6 * 1024;
 
 /** Objects of a running request with its exchange at an upstream, bytes on the heap. An estimate, rounded up. */
