Name in the log and the metrics the ends that only a connection marked

The hypotheses of the incident differ in whether the node took the close of an upstream's connection for the end of an answer. Nothing said so: a stream that is delivered at its first attempt is ordinary, so that its lines are left out above a number per second. Such an end now has `unconfirmedEnd` in the line "A request ended.", counts as notable, and is counted in `unconfirmed_ends_total`. A node that dies leaves no line; one that runs on leaves this one.

--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -421,7 +421,7 @@
                 return;
             }
             if (mode === "pass") {
-                sink.end();
+                sink.endPlain(isFramed);
                 finish({ kind: "delivered", status });
                 return;
             }
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -371,8 +371,9 @@
                             ? undefined
                             : Math.round(end.firstByteMilliseconds),
                     milliseconds,
+                    unconfirmedEnd: end.isEndUnconfirmed === true ? true : undefined,
                 });
-                trace.end(end.outcome !== "delivered");
+                trace.end(end.outcome !== "delivered" || end.isEndUnconfirmed === true);
                 options.onEnd(end, end.route, milliseconds);
             })
             .catch((error: unknown) => {
--- a/src/node/forwarding/request-end.ts
+++ b/src/node/forwarding/request-end.ts
@@ -23,6 +23,12 @@
     readonly reason: string | undefined;
     /** Time to the first byte of the response, milliseconds. */
     readonly firstByteMilliseconds: number | undefined;
+    /**
+     * The answer ended as complete because its upstream ended the connection, which a crash does as well.
+     *
+     * @default false
+     */
+    readonly isEndUnconfirmed?: boolean;
 }
 
 export interface RequestEndContext {
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -862,6 +862,7 @@
             ...ended,
             attempts: executions + rejections + unreached + handovers,
             firstByteMilliseconds,
+            isEndUnconfirmed: sink.hasUnconfirmedEnd(),
         };
     };
 }
--- a/src/node/forwarding/response-sink.ts
+++ b/src/node/forwarding/response-sink.ts
@@ -46,7 +46,10 @@
      * @param mayBegin Whether another upstream has confirmed the end of a stream without new events.
      */
     endUnconfirmed(mayBegin: boolean): boolean;
-    end(): void;
+    /** Whether the answer ended as complete because its upstream ended the connection, as a crash does. */
+    hasUnconfirmedEnd(): boolean;
+    /** Ends an answer that is no stream. `isFramed` as in `beginPlain`. */
+    endPlain(isFramed: boolean): void;
     /** Sends a response that was read to its end. */
     sendBuffered(buffered: BufferedResponse): void;
 }
@@ -87,6 +90,7 @@
     let hasBegun = false;
     let hasBegunPlain = false;
     let isChunked = false;
+    let hasUnconfirmedEnd = false;
     let drainListener: (() => void) | undefined;
     const reportUnread = (): void => options.onUnread?.(response.writableLength);
     response.on("drain", () => {
@@ -166,11 +170,17 @@
             if (!hasBegun || isChunked) {
                 return false;
             }
+            hasUnconfirmedEnd = true;
             response.end();
             return true;
         },
-        end: () => response.end(),
+        hasUnconfirmedEnd: () => hasUnconfirmedEnd,
+        endPlain: isFramed => {
+            hasUnconfirmedEnd = !isFramed;
+            response.end();
+        },
         sendBuffered: buffered => {
+            hasUnconfirmedEnd = !buffered.isFramed;
             const headers = options.encodeHeaders(buffered.headers);
             const length = buffered.isFramed ? { "content-length": buffered.body.length } : {};
             begin(buffered.status, { ...headers, ...length }, buffered.isFramed);
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -584,6 +584,9 @@
         onEnd: (end, route, milliseconds) => {
             const labels = { route: route ?? "", outcome: end.outcome };
             metrics.count("requests_total", { ...labels, status: String(end.status) });
+            if (end.isEndUnconfirmed === true) {
+                metrics.count("unconfirmed_ends_total", { route: route ?? "" });
+            }
             metrics.observe("request_milliseconds", milliseconds, { route: route ?? "" });
             if (end.firstByteMilliseconds !== undefined) {
                 metrics.observe("first_byte_milliseconds", end.firstByteMilliseconds, { route: route ?? "" });
