Repeat idempotent requests and resume streams whose handover was lost

What callers saw: a node without a path to the upstreams hands its requests over to another node. When that node died, idempotent requests were answered 502 ("other side closed", "read ECONNRESET") at once, and streams that may be resumed were cut, also where other nodes or the node itself could go on.

For the same reason no request was handed over after an attempt of the node itself.

Requests that are not repeatable run once, as before.

--- a/src/node/forwarding/__tests__/decisions.spec.ts
+++ b/src/node/forwarding/__tests__/decisions.spec.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { createRoute } from "../../routes/__tests__/route-table.spec.js";
-import { nextStep, nextStepAfterHandover } from "../attempt-policy.js";
+import { attemptsOfHelper, nextStep, nextStepAfterHandover } from "../attempt-policy.js";
 import type { RequestProgress } from "../attempt-policy.js";
 import { createEventSplitter } from "../event-splitter.js";
 import { escalationModel } from "../model-choice.js";
@@ -91,11 +91,24 @@
     assert.equal(nextStep({ ...gone, status: 421 }, withoutBudget).kind, "reject");
 });
 
-test("a request that a helper may have run is not repeated, one that it did not know is", () => {
-    assert.equal(nextStepAfterHandover(lost).kind, "fail");
-    assert.equal(nextStepAfterHandover({ ...notRun, isUnreached: true }).kind, "retry");
-    assert.equal(nextStepAfterHandover({ ...notRun, status: 404 }).kind, "retry");
-    assert.equal(nextStepAfterHandover({ ...notRun, status: 503 }).kind, "reject");
+test("a request that a helper may have run is not repeated beyond its attempts, one that it did not know is", () => {
+    const once = createRoute({ kind: "once", resumable: false, maximumAttempts: 3 });
+    const notExecuted = createProgress({ executions: 0 });
+    assert.equal(nextStepAfterHandover(lost, createProgress({ route: once })).kind, "fail");
+    assert.equal(nextStepAfterHandover(lost, createProgress({ executions: 3 })).kind, "fail");
+    assert.equal(nextStepAfterHandover(lost, createProgress({ executions: 2 })).kind, "retry");
+    assert.equal(nextStepAfterHandover({ ...notRun, isUnreached: true }, notExecuted).kind, "retry");
+    assert.equal(nextStepAfterHandover({ ...notRun, status: 404 }, notExecuted).kind, "retry");
+    assert.equal(nextStepAfterHandover({ ...notRun, status: 503 }, notExecuted).kind, "reject");
+    assert.equal(nextStepAfterHandover({ ...notRun, status: 503 }, createProgress()).kind, "fail");
+});
+
+test("a helper leaves an attempt for the case that it dies, unless it could not retry itself then", () => {
+    const idempotent = createRoute({ kind: "idempotent", resumable: false });
+    assert.equal(attemptsOfHelper(idempotent, 3, true), 2);
+    assert.equal(attemptsOfHelper(idempotent, 3, false), 3);
+    assert.equal(attemptsOfHelper(idempotent, 2, true), 2);
+    assert.equal(attemptsOfHelper(createRoute({ kind: "once", resumable: false }), 3, true), 3);
 });
 
 test("retries do not exceed the budgeted ratio of requests", () => {
--- a/src/node/forwarding/__tests__/forwarder-fixture.ts
+++ b/src/node/forwarding/__tests__/forwarder-fixture.ts
@@ -38,6 +38,8 @@
     attempt: number,
     head: string,
     lastEventId: number,
+    /** Head of the request. */
+    request?: string,
 ) => void | Promise<void>;
 
 export interface ForwarderFixture {
@@ -204,6 +206,7 @@
                 const id = /\nattempt: (\S+)/.exec(received)![1]!;
                 const lastEventId = Number(/\nlast-event-id: (\d+)/.exec(received)?.[1] ?? 0);
                 const attempt = attempts.get(id) ?? 0;
+                const request = received;
                 attempts.set(id, attempt + 1);
                 received = "";
                 void responders.get(id)!(
@@ -211,6 +214,7 @@
                     attempt,
                     `HTTP/1.1 200 x\r\nattempt: ${id}\r\n`,
                     lastEventId,
+                    request,
                 );
             }
         });
--- a/src/node/forwarding/attempt-policy.ts
+++ b/src/node/forwarding/attempt-policy.ts
@@ -26,7 +26,7 @@
 
 export interface RequestProgress {
     readonly route: Route;
-    /** Attempts that ran or may have run. */
+    /** Attempts that ran or may have run, here or at nodes that took over the request. */
     readonly executions: number;
     /** Attempts that upstreams rejected. */
     readonly rejections: number;
@@ -144,11 +144,23 @@
     }
 }
 
+/** Attempts left from which one is kept back for the loss of the helper. With fewer, the helper could not retry. */
+const MINIMUM_ATTEMPTS_TO_SHARE = 3;
+
 /**
- * Decides after another node took over the request. A request that it may have run is not repeated, because its
- * attempts are not known here.
+ * Returns how many attempts a helper may make. A lost handover counts as all of them, because nothing says how
+ * many the helper has made.
+ *
+ * @param attemptsLeft Attempts that the route still allows, at least 1.
+ * @param hasOtherHelper Another node could repeat the request.
  */
-export function nextStepAfterHandover(result: AttemptResult): NextStep {
+export function attemptsOfHelper(route: Route, attemptsLeft: number, hasOtherHelper: boolean): number {
+    const isShared = isRepeatable(route) && hasOtherHelper && attemptsLeft >= MINIMUM_ATTEMPTS_TO_SHARE;
+    return isShared ? attemptsLeft - 1 : attemptsLeft;
+}
+
+/** Decides after another node took over the request. `progress` counts the attempts that it may have made. */
+export function nextStepAfterHandover(result: AttemptResult, progress: RequestProgress): NextStep {
     switch (result.kind) {
         case "delivered":
         case "doubted":
@@ -158,13 +170,20 @@
         case "not-run": {
             // A helper that lacks the newest configuration may not know the route or the key.
             const isRefusedForLoad = result.status === HTTP_UNAVAILABLE || result.status === HTTP_TOO_MANY;
-            return { kind: isRefusedForLoad ? "reject" : "retry", reason: result.reason };
+            return isRefusedForLoad
+                ? rejectOrFail(progress, result.reason)
+                : { kind: "retry", reason: result.reason };
         }
         case "failed":
-            return { kind: "pass-failure" };
+            return canRetryAfterExecution(progress)
+                ? { kind: "retry", reason: result.reason }
+                : { kind: "pass-failure" };
         case "unconfirmed":
             return { kind: "end-unconfirmed", reason: result.reason };
         case "lost":
+            return canRetryAfterExecution(progress)
+                ? { kind: "retry", reason: result.reason }
+                : { kind: "fail", reason: result.reason };
         case "withdrawn":
             return { kind: "fail", reason: result.reason };
     }
--- a/src/node/forwarding/protocol.ts
+++ b/src/node/forwarding/protocol.ts
@@ -29,6 +29,12 @@
     readonly allowsModelChoice: boolean;
     /** Id of the last event of the stream that the caller has received. */
     readonly lastEventId: string | undefined;
+    /**
+     * Attempts that the node which handed the request over leaves to this one.
+     *
+     * @default those of the route
+     */
+    readonly maximumAttempts?: number | undefined;
 }
 
 /** Fields that the router sets on a request to an upstream. */
@@ -78,10 +84,13 @@
     /**
      * Returns the caller's headers for another node that takes over the request: all but those of the
      * connection, with the remaining time.
+     *
+     * @param lastEventId Id of the last event that the caller has received. @default as the caller sent it
      */
     encodeHandover(
         headers: IncomingHttpHeaders,
         remainingMilliseconds: number,
+        lastEventId?: string,
     ): Record<string, string | string[]>;
     decodeResponse(status: number, headers: IncomingHttpHeaders): ResponseHead;
     /** Returns the upstream's headers for the caller, without the connection-specific ones. */
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -3,7 +3,11 @@
 import { delay, nextPoll } from "../common/clock.js";
 import type { Clock } from "../common/clock.js";
 import type { Random } from "../common/random.js";
-import { decodeHelperResponse, withoutRouterMark } from "../handover/router-response.js";
+import {
+    decodeHelperResponse,
+    encodeMaximumAttempts,
+    withoutRouterMark,
+} from "../handover/router-response.js";
 import type { ProbeResult } from "../handover/reachability.js";
 import type { Helper } from "../handover/helpers.js";
 import type { RequestTrace } from "../logging/request-log.js";
@@ -25,7 +29,13 @@
 import { createResponseSink } from "./response-sink.js";
 import { isSuccess, runAttempt, signalsNotRun } from "./attempt.js";
 import type { AttemptResult, BufferedResponse } from "./attempt.js";
-import { endAfterUnconfirmed, nextStep, nextStepAfterHandover, rejectOrFail } from "./attempt-policy.js";
+import {
+    attemptsOfHelper,
+    endAfterUnconfirmed,
+    nextStep,
+    nextStepAfterHandover,
+    rejectOrFail,
+} from "./attempt-policy.js";
 import type { NextStep, RequestProgress } from "./attempt-policy.js";
 import type { AttemptTiming } from "./attempt.js";
 import { endRequest } from "./request-end.js";
@@ -251,11 +261,19 @@
     }
 }
 
+/** Lowers the maximum number of attempts of a route. */
+function withinAttempts(route: Route, maximumAttempts: number | undefined): Route {
+    return maximumAttempts === undefined || maximumAttempts >= route.maximumAttempts
+        ? route
+        : { ...route, maximumAttempts };
+}
+
 export function createRequestForwarder(options: RequestForwarderOptions) {
     const { clock, codec } = options;
 
     return async (request: MatchedRequest, response: ServerResponse): Promise<RequestEnd> => {
-        const { head, route, service, trace } = request;
+        const { head, service, trace } = request;
+        const route = withinAttempts(request.route, head.maximumAttempts);
         const callerMilliseconds = head.remainingMilliseconds ?? Infinity;
         const deadline = request.arrivedAt + Math.min(callerMilliseconds, route.timeoutMilliseconds);
         const session = { key: sessionKeyOf(head), isSession: head.session !== undefined };
@@ -278,6 +296,8 @@
         let unreached = 0;
         let unreachedMilliseconds = 0;
         let handovers = 0;
+        /** Those of the executions that nodes may have made which took over the request. */
+        let handedOverExecutions = 0;
         let waits = 0;
         let firstByteMilliseconds: number | undefined;
         let lastFailure: BufferedResponse | undefined;
@@ -723,10 +743,15 @@
             return clock.now() >= deadline ? { kind: "timed-out" } : undefined;
         };
 
+        const hasHelper = (excludedHelpers: ReadonlySet<string>): boolean =>
+            options.handover?.isNeeded() === true &&
+            options.handover.chooseHelper(excludedHelpers) !== undefined;
+
         /** Lets another node serve the request; `undefined` when this node should do so. */
         const tryHandover = async (excludedHelpers: Set<string>): Promise<NextStep | undefined> => {
             const { handover } = options;
-            if (handover?.isNeeded() !== true || executions > 0 || sink.hasBegun()) {
+            const attemptsLeft = route.maximumAttempts - executions;
+            if (handover?.isNeeded() !== true || attemptsLeft < 1 || sink.hasBegunPlain()) {
                 return undefined;
             }
             const helper = handover.chooseHelper(excludedHelpers);
@@ -734,6 +759,11 @@
                 return undefined;
             }
             excludedHelpers.add(helper.id);
+            const helperAttempts = attemptsOfHelper(
+                route,
+                attemptsLeft,
+                handover.chooseHelper(excludedHelpers) !== undefined,
+            );
             handovers += 1;
             handover.onHandover();
             const sentAt = clock.now();
@@ -741,6 +771,8 @@
             trace.add("attempts", "Handed the request over to another node.", {
                 node: helper.id,
                 remainingMilliseconds,
+                attempts: helperAttempts,
+                resumeAfter: sink.lastEventId(),
             });
             const result = await runAttempt({
                 send: options.send,
@@ -748,7 +780,10 @@
                     address: `http://${helper.address}`,
                     method: request.method,
                     path: request.path,
-                    headers: codec.encodeHandover(request.headers, remainingMilliseconds),
+                    headers: {
+                        ...codec.encodeHandover(request.headers, remainingMilliseconds, sink.lastEventId()),
+                        ...encodeMaximumAttempts(helperAttempts),
+                    },
                     body: request.body.length === 0 ? undefined : request.body,
                     dedicatedConnection: route.kind === "once",
                     headTimeoutMilliseconds: 0,
@@ -777,8 +812,15 @@
             if (result.kind === "not-run") {
                 retryAfterSeconds = result.retryAfterSeconds;
             }
+            else {
+                executions += helperAttempts;
+                handedOverExecutions += helperAttempts;
+            }
             lastFailure = result.kind === "failed" ? result.response : lastFailure;
-            return nextStepAfterHandover(result);
+            recordEnd(result);
+            // The node may have its path again.
+            const canRepeat = handover.isNeeded() ? hasHelper(excludedHelpers) : nextChoice() !== undefined;
+            return nextStepAfterHandover(result, progress(canRepeat));
         };
 
         const runAttempts = async (): Promise<NextStep> => {
@@ -830,8 +872,8 @@
                     return rejectOrFail(progress(false), QUARANTINE_REASONS[kind]);
                 }
                 const result = await attemptAt(choice);
-                const canHandOver = options.handover?.isNeeded() === true;
-                const step = nextStep(result, progress(canHandOver || nextChoice() !== undefined));
+                const canRepeat = hasHelper(excludedHelpers) || nextChoice() !== undefined;
+                const step = nextStep(result, progress(canRepeat));
                 const waitsAgain =
                     step.kind === "reject" &&
                     result.kind === "not-run" &&
@@ -860,7 +902,7 @@
         });
         return {
             ...ended,
-            attempts: executions + rejections + unreached + handovers,
+            attempts: executions - handedOverExecutions + rejections + unreached + handovers,
             firstByteMilliseconds,
         };
     };
