--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -642,7 +642,7 @@
                     !result.hasNewEvents &&
                     unconfirmedEndId !== undefined &&
                     unconfirmedEndId === sink.lastEventId();
-                isEndAgreed = isEndStatedTwice && (!sink.hasBegun() || sink.isUnframed());
+                isEndAgreed = isEndStatedTwice && (!sink.hasBegun() || sink.mayEndUnconfirmed());
                 unconfirmedEndId = sink.lastEventId();
             }
             else if (
@@ -904,6 +904,7 @@
             ...ended,
             attempts: executions - handedOverExecutions + rejections + unreached + handovers,
             firstByteMilliseconds,
+            isEndUnconfirmed: sink.hasUnconfirmedEnd(),
         };
     };
 }
