--- a/playground/deployment.ts
+++ b/playground/deployment.ts
@@ -6,8 +6,6 @@
 import type { ChildProcess } from "node:child_process";
 import { createHash } from "node:crypto";
 import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
@@ -17,6 +15,7 @@
 import type { Engine, EngineOptions } from "./stand-ins/engine.js";
 import { startPlatform } from "./stand-ins/platform.js";
 import type { Platform } from "./stand-ins/platform.js";
+import { findFreePorts } from "./stand-ins/ports.js";
 import { startService } from "./stand-ins/service.js";
 import type { Service } from "./stand-ins/service.js";
 
@@ -78,23 +77,6 @@
     return createHash("sha256").update(text).digest("hex");
 }
 
-/** Finds free ports on 127.0.0.1. */
-export async function freePorts(count: number): Promise<readonly number[]> {
-    const servers = await Promise.all(
-        Array.from(
-            { length: count },
-            () =>
-                new Promise<ReturnType<typeof createServer>>(resolve => {
-                    const server = createServer();
-                    server.listen(0, "127.0.0.1", () => resolve(server));
-                }),
-        ),
-    );
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
-}
-
 function formatIni(sections: Readonly<Record<string, Readonly<Record<string, string | number>>>>): string {
     return Object.entries(sections)
         .map(
@@ -118,7 +100,7 @@
         if (status === 200) {
             return;
         }
-        if (node.process.exitCode !== null) {
+        if (node.process.exitCode !== null || node.process.signalCode !== null) {
             break;
         }
         await delay(READY_POLL_MILLISECONDS);
@@ -141,9 +123,18 @@
     const platform = await startPlatform({ rate: options.rate });
     const engines = await Promise.all(options.engines.map(engine => startEngine(engine)));
     const services = await Promise.all(Array.from({ length: options.services }, () => startService()));
-    const ports = await freePorts(options.nodes * 3);
+    const ports = await findFreePorts(options.nodes * 3);
     const nodes: DeploymentNode[] = [];
 
+    const stop = async (): Promise<void> => {
+        for (const node of nodes) {
+            node.process.kill("SIGTERM");
+        }
+        await Promise.all(nodes.map(node => node.exited));
+        await Promise.all([platform, ...engines, ...services].map(server => server.close()));
+        rmSync(directory, { recursive: true });
+    };
+
     const startNode = async (index: number): Promise<DeploymentNode> => {
         const id = `node-${index + 1}`;
         const dataCentre = options.dataCentres[index % options.dataCentres.length]!;
@@ -197,8 +188,15 @@
         return node;
     };
 
-    await Promise.all(Array.from({ length: options.nodes }, (_unused, index) => startNode(index)));
-    await Promise.all(nodes.map(node => waitUntilReady(node, "/readyz")));
+    try {
+        await Promise.all(Array.from({ length: options.nodes }, (_unused, index) => startNode(index)));
+        await Promise.all(nodes.map(node => waitUntilReady(node, "/readyz")));
+    }
+    catch (error) {
+        // The listeners of the stand-ins would keep the process alive, and hide the error.
+        await stop();
+        throw error;
+    }
 
     return {
         nodes,
@@ -210,14 +208,7 @@
         startNode,
         waitUntilReady: node => waitUntilReady(node, "/readyz"),
         apply: ticket => applyTicket(nodes, ticket),
-        stop: async () => {
-            for (const node of nodes) {
-                node.process.kill("SIGTERM");
-            }
-            await Promise.all(nodes.map(node => node.exited));
-            await Promise.all([platform, ...engines, ...services].map(server => server.close()));
-            rmSync(directory, { recursive: true });
-        },
+        stop,
     };
 }
 
