Fail service answers without framing whose upstream has crashed in the daemon

A caller of the daemon got `200`, `Verdict: ran` and, in chunks, the first half of an answer of a plain service that crashed within it. With an idempotency key, the half was recorded as the outcome of the request.

Cause: the end of an answer with neither a length nor chunks is the end of its connection, which a crash imitates; the exchange took it for the whole answer. It now connects to the upstream once at such an end, as the router node does. A refused connection fails the attempt as may-have-run: a repeatable request is retried, any other is rejected with 502. An upstream that leaves is not asked.

Ruled out by the other tests, which passed before as well: streams of the daemon however its process ends (five ways), which are in chunks, and streams that an engine breaks off, which end with an error event and without [DONE].

Not covered: an upstream that listens again within 50 ms, or that closes one connection and lives on.

--- a/src/node/daemon/compose.ts
+++ b/src/node/daemon/compose.ts
@@ -67,6 +67,8 @@
     /** Returns the base URL of the server for peers of this node. Called after that server has started. */
     readonly peersAddress: () => string;
     readonly send: UpstreamSend;
+    /** Whether no process listens at the base URL of an upstream any more. @default it is not asked */
+    readonly hasCrashed?: (address: string) => Promise<boolean>;
     readonly rateAnswer: RateAnswer;
     /** Replaces the placement function, to compare algorithms. @default place */
     readonly placement?: PlacementFunction;
@@ -247,6 +249,7 @@
         claims,
         billing,
         send: environment.send,
+        hasCrashed: environment.hasCrashed,
         cascade: cascadeRouter.decisions,
         rampingVersion: model => rolloutExchange.ramping(model),
         isWithdrawn: (model, version) => rollouts.isWithdrawn(model, version),
--- a/src/node/daemon/daemon.ts
+++ b/src/node/daemon/daemon.ts
@@ -15,6 +15,7 @@
 import { createHttpRatingService } from "../outside-services/rating-service.js";
 import type { ResolvedConfig } from "../settings/settings.js";
 import { createTicker } from "../ticker/ticker.js";
+import { hasCrashed } from "../upstreams/crash-probe.js";
 import { createHttpSend } from "../upstreams/send.js";
 import { addPeriodicMetrics } from "./periodic-metrics.js";
 import { composeNode } from "./compose.js";
@@ -92,6 +93,7 @@
         peers,
         peersAddress: () => peers.address(),
         send: createHttpSend(lifecycle),
+        hasCrashed,
         rateAnswer: createHttpRatingService({ baseUrl: config.platform.ratingService }),
         ...overrides,
     });
--- a/src/node/daemon/request-pipeline.ts
+++ b/src/node/daemon/request-pipeline.ts
@@ -51,6 +51,8 @@
     readonly claims: Claims;
     readonly billing: Billing;
     readonly send: UpstreamSend;
+    /** Whether no process listens at the base URL of an upstream any more. @default it is not asked */
+    readonly hasCrashed?: (address: string) => Promise<boolean>;
     readonly upstreamChoice: EngineChoice;
     readonly pins: SessionPins;
     readonly cascade: CascadeDecisions;
@@ -130,8 +132,17 @@
         dependencies.ticker.wake();
     });
 
+    const { hasCrashed } = dependencies;
     const exchanges = createExchangeRegistry({
         send: dependencies.send,
+        ...(hasCrashed === undefined
+            ? {}
+            : {
+                  // An upstream that leaves may stop listening before its last answers end.
+                  hasCrashed: async (upstream, address) =>
+                      configuration.current().upstream.get(upstream)?.state === "active" &&
+                      (await hasCrashed(address)),
+              }),
         billing: dependencies.billing,
         claims: dependencies.claims,
         post: event => system.post(event),
--- a/src/node/dispatch/service-exchange.ts
+++ b/src/node/dispatch/service-exchange.ts
@@ -6,6 +6,7 @@
 import { formatProblem } from "../callers/errors.js";
 import type { Billing } from "../billing/billing.js";
 import type { Claims, RecordedOutcome } from "../claims/claims.js";
+import { hasBodyFraming } from "../forwarding/attempt.js";
 import type { UpstreamHead } from "../placement/engine-choice.js";
 import type { UpstreamSend } from "../upstreams/send.js";
 import { MAXIMUM_SERVICE_RESPONSE_BYTES, OUTCOME_STORE_TIMEOUT_MILLISECONDS } from "./constants.js";
@@ -25,6 +26,12 @@
     /** Milliseconds since the epoch. */
     readonly wallTime: () => number;
     readonly idleTimeoutMilliseconds: number;
+    /**
+     * Whether an upstream has crashed, which looks like the end of an answer with neither a length nor chunks.
+     *
+     * @default such an end is no crash
+     */
+    readonly hasCrashed?: (upstream: string, address: string) => Promise<boolean>;
     readonly onUpstreamHead: (upstream: string, head: UpstreamHead) => void;
     /** Called when an answer carries the id of another attempt. */
     readonly onCrossedAnswer: () => void;
@@ -43,6 +50,9 @@
     HEADER.bootId,
 ];
 
+/** Statuses of answers that have no body, so that no connection has to end them. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 export function createServiceExchange(
     requestId: string,
     submission: ServiceSubmission,
@@ -142,14 +152,31 @@
                         chunks.push(chunk);
                     },
                     onEnd: attempt => {
-                        attempt.finish();
-                        outcome = {
-                            status: head!.status,
-                            headers: forwardedHeaders(head!.headers),
-                            body: Buffer.concat(chunks).toString("base64"),
+                        const { status, headers } = head!;
+                        const accept = (): undefined => {
+                            attempt.finish();
+                            outcome = {
+                                status,
+                                headers: forwardedHeaders(headers),
+                                body: Buffer.concat(chunks).toString("base64"),
+                            };
+                            void complete(request, attempt);
                         };
-                        void complete(request, attempt);
-                        return undefined;
+                        const endsWithConnection =
+                            submission.method !== "HEAD" &&
+                            !BODILESS_STATUSES.has(status) &&
+                            !hasBodyFraming(headers);
+                        if (!endsWithConnection || dependencies.hasCrashed === undefined) {
+                            return accept();
+                        }
+                        return dependencies
+                            .hasCrashed(attemptState.upstream, attemptState.address)
+                            .then(isCrash => {
+                                if (isCrash) {
+                                    return "the upstream crashed within its answer";
+                                }
+                                return attempt.ended() ? undefined : accept();
+                            });
                     },
                     onFailed: (failure, attempt) => {
                         if (answered && request.claim !== undefined) {
--- a/src/node/dispatch/upstream-attempt.ts
+++ b/src/node/dispatch/upstream-attempt.ts
@@ -36,7 +36,7 @@
     /** Receives a chunk of a successful answer's body. A thrown error fails the attempt. */
     readonly onChunk: (chunk: Buffer, attempt: UpstreamAttempt) => void;
     /** Called at the end of a successful answer's body. Returns a reason if the answer is incomplete. */
-    readonly onEnd: (attempt: UpstreamAttempt) => string | undefined;
+    readonly onEnd: (attempt: UpstreamAttempt) => string | undefined | Promise<string | undefined>;
     readonly onFailed: (failure: AttemptFailure, attempt: UpstreamAttempt) => void;
 }
 
@@ -150,9 +150,17 @@
             fail(failureFromStatus(status, errorVerdict, errorBody));
             return;
         }
+        const finish = (problem: string | undefined): void => {
+            if (problem !== undefined) {
+                fail({ verdict: "may-have-run", cause: "answer", reason: problem });
+            }
+        };
         const problem = handlers.onEnd(attempt);
-        if (problem !== undefined) {
-            fail({ verdict: "may-have-run", cause: "answer", reason: problem });
+        if (problem instanceof Promise) {
+            problem.then(finish, (error: unknown) => finish((error as Error).message));
+        }
+        else {
+            finish(problem);
         }
     };
 
