Send whole answers of the daemon and the metrics with a length

A caller of HTTP/1.0 got the daemon's answers of services, lists, rejections and readiness, and a router node's metrics, with neither a length nor chunks, so that a truncated one looked complete. Node.js sets a length by itself only for HTTP/1.1. All of these are in memory when they are sent, and now have it.

An error after the head of an answer no longer adds its body to that answer and ends it as complete; the connection is closed. No request is known that gets there.

Operators' answers had a length. Streams to HTTP/1.0 stay without framing; what tells their end is [DONE].

--- a/playground/__tests__/daemon-deaths.spec.ts
+++ b/playground/__tests__/daemon-deaths.spec.ts
@@ -138,7 +138,11 @@
 ];
 
 async function receiveUntil(answer: OpenAnswer, part: string): Promise<void> {
-    await waitFor(`the answer contains ${JSON.stringify(part)}`, () => answer.received().includes(part));
+    await waitFor(`the answer contains ${JSON.stringify(part)}`, () =>
+        answer.received().includes(part),
+    ).catch((cause: unknown) => {
+        throw new Error(`the answer is ${JSON.stringify(answer.received().slice(-500))}`, { cause });
+    });
 }
 
 /** Ends a daemon in the middle of a stream, and describes the stream if it looks complete. */
@@ -177,11 +181,12 @@
 ];
 
 /** Sends a request with an idempotency key, which is the same for the same path. */
-async function callService(method: string, path: string): Promise<string> {
+async function callService(method: string, path: string, version?: "1.0"): Promise<string> {
     const answer = open(shared.node, {
         method,
         path,
         headers: [`idempotency-key: ${path.replaceAll("/", "-")}`, "connection: close"],
+        ...(version === undefined ? {} : { version }),
     });
     await answer.ended;
     return answer.received();
@@ -204,6 +209,32 @@
     });
 }
 
+for (const { what, method, path, status } of [
+    { what: "an answer of a service", method: "GET", path: "/services/dispatch/stock/whole", status: 200 },
+    { what: "a list", method: "GET", path: "/v1/models", status: 200 },
+    { what: "the readiness", method: "GET", path: "/readyz", status: 200 },
+    { what: "a rejection", method: "POST", path: "/v1/completions", status: 400 },
+    { what: "an unknown path", method: "GET", path: "/nowhere", status: 404 },
+]) {
+    test(`the daemon sends ${what} to callers of HTTP/1.0 with a length`, async () => {
+        const answer = await callService(method, path, "1.0");
+        assert.match(answer, new RegExp(`^HTTP/1.1 ${status}`));
+        assert.match(answer, /^content-length: [1-9]\d*$/im);
+    });
+}
+
+test("the daemon sends its status to operators with HTTP/1.0 with a length", async () => {
+    const operators = shared.node.operators.replace("http://", "");
+    const answer = openAnswer(operators, {
+        version: "1.0",
+        method: "GET",
+        path: "/status",
+        key: "operator-key",
+    });
+    await answer.ended;
+    assert.match(answer.received(), /^HTTP\/1.1 200[^]*\r\ncontent-length: [1-9]/i);
+});
+
 test("a stream that its engine breaks off ends with an error and without [DONE]", async () => {
     const stream = open(shared.node, { ...STREAM, headers: [...STREAM.headers!, "connection: close"] });
     await receiveUntil(stream, "id: 5\n");
--- a/src/node/callers/caller-api-server.ts
+++ b/src/node/callers/caller-api-server.ts
@@ -61,6 +61,8 @@
     "request-id",
 ];
 
+const TEXT_HEADERS = { "content-type": "text/plain" };
+
 const SERVICE_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE", "HEAD"] as const;
 
 export function createCallerApiServer(options: CallerApiServerOptions): CallerApiServer {
@@ -82,10 +84,12 @@
         options.onRejected(error);
         const format = shape === "openai" ? formatOpenAiError : formatProblem;
         const formatted = format(error, options.newRequestId());
-        if (!response.headersSent) {
-            response.writeHead(formatted.status, formatted.headers);
+        if (response.headersSent) {
+            // An answer that has begun must not end as if it were complete.
+            response.destroy();
+            return;
         }
-        response.end(formatted.body);
+        sendWhole(response, formatted.status, formatted.headers, formatted.body);
     };
 
     const authenticatedWorkspace = (message: IncomingMessage): string => {
@@ -159,13 +163,10 @@
         withErrorReply("openai", (message, response) => {
             const workspace = authenticatedWorkspace(message);
             const models = options.configuration.current().workspace.get(workspace)?.models ?? [];
-            response.writeHead(200, { "content-type": "application/json" });
-            response.end(
-                JSON.stringify({
-                    object: "list",
-                    data: models.map(id => ({ id, object: "model", owned_by: workspace })),
-                }),
-            );
+            sendJson(response, 200, {
+                object: "list",
+                data: models.map(id => ({ id, object: "model", owned_by: workspace })),
+            });
         }),
     );
 
@@ -238,13 +239,11 @@
     );
 
     router.on("GET", "/healthz", (_message, response) => {
-        response.writeHead(200, { "content-type": "text/plain" });
-        response.end("ok\n");
+        sendWhole(response, 200, TEXT_HEADERS, "ok\n");
     });
     router.on("GET", "/readyz", (_message, response) => {
         const ready = options.isReady();
-        response.writeHead(ready ? 200 : 503, { "content-type": "text/plain" });
-        response.end(ready ? "ready\n" : "not ready\n");
+        sendWhole(response, ready ? 200 : 503, TEXT_HEADERS, ready ? "ready\n" : "not ready\n");
     });
 
     const listener = (message: IncomingMessage, response: ServerResponse): void => {
@@ -291,14 +290,24 @@
     };
 }
 
+/** Sends a response with its length: to a caller of HTTP/1.0, which gets no chunks, only that marks its end. */
+function sendWhole(
+    response: ServerResponse,
+    status: number,
+    headers: Readonly<Record<string, string>>,
+    body: Buffer | string,
+): void {
+    response.writeHead(status, { ...headers, "content-length": Buffer.byteLength(body) });
+    response.end(body);
+}
+
 function sendJson(
     response: ServerResponse,
     status: number,
     body: unknown,
     headers: Readonly<Record<string, string>> = {},
 ): void {
-    response.writeHead(status, { "content-type": "application/json", ...headers });
-    response.end(JSON.stringify(body));
+    sendWhole(response, status, { "content-type": "application/json", ...headers }, JSON.stringify(body));
 }
 
 function tlsOptions(source: TlsSource): { readonly cert: string; readonly key: string } {
@@ -354,16 +363,35 @@
     });
 }
 
+interface ReplyHead {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+}
+
 function createHttpReply(response: ServerResponse, bufferBytes: number): CallerReply {
+    let pendingHead: ReplyHead | undefined;
+    const writePendingHead = (): void => {
+        if (pendingHead !== undefined) {
+            response.writeHead(pendingHead.status, pendingHead.headers);
+            pendingHead = undefined;
+        }
+    };
     return {
         head: (status, headers) => {
-            response.writeHead(status, headers);
+            pendingHead = { status, headers };
         },
         write: chunk => {
+            writePendingHead();
             response.write(chunk);
             return response.writableLength <= bufferBytes;
         },
         end: chunk => {
+            // The answer to a HEAD request has no body, and its length would be that of another answer.
+            if (pendingHead !== undefined && chunk !== undefined && chunk.length > 0) {
+                sendWhole(response, pendingHead.status, pendingHead.headers, chunk);
+                return;
+            }
+            writePendingHead();
             response.end(chunk);
         },
         onDrain: listener => {
--- a/src/node/metrics/registry.ts
+++ b/src/node/metrics/registry.ts
@@ -100,8 +100,11 @@
 ): void {
     const server = createServer();
     guardMonitoring(server, "metrics", clients, response => {
+        const text = registry.text();
         response.setHeader("content-type", "text/plain; version=0.0.4");
-        response.end(registry.text());
+        // Node.js sets it for HTTP/1.1 only.
+        response.setHeader("content-length", Buffer.byteLength(text));
+        response.end(text);
     });
     addListener("metrics listener", server, { address, port }, lifecycle);
 }
