Read what has arrived before a stopping node closes its listener

What callers saw: ECONNRESET on connections that were open 1.5 s before a stopping node closed them, beside load.

Two causes, told apart by the times of each failed call:

- Product: timers of a process that was held up run before its input.
The drain saw no open request and closed the listener and the idle connections, among them those whose requests it had not accepted or not read.
Seen: calls on new connections, open 154 to 244 ms after SIGTERM, reset at 1800 and 2131 ms.
- Test: an agent with four connections held calls back, so that they began up to 1943 ms after the balancer's stop at 250 ms; most failures (ECONNREFUSED) were of this kind.

Ruled out: a request that the process has read whole was left without an answer in none of the runs.

Change: before the drain takes the node for free of requests, the event loop turns until four turns in a row bring no connection (Node.js accepts one a turn and reads it in the next).

--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -42,6 +42,8 @@
     openRequests(): number;
     /** Open connections. */
     connections(): number;
+    /** Connections that were accepted since the start. */
+    acceptedConnections(): number;
     /** Requests that wait until the requests before them on their connections have ended. */
     waitingRequests(): number;
     /**
@@ -191,6 +193,7 @@
     const { codec, clock } = options;
     const openResponses = new Set<ServerResponse>();
     let exitsAt: number | undefined;
+    let acceptedConnections = 0;
 
     let timeouts = {
         idleMilliseconds: DEFAULT_IDLE_MILLISECONDS,
@@ -397,6 +400,7 @@
         requestTimeout: 0,
         noDelay: true,
     });
+    server.on("connection", () => (acceptedConnections += 1));
     const guard = options.clientLimits.guard(server, {
         listener: options.name,
         maximumConnections: options.maximumConnections,
@@ -418,6 +422,7 @@
     return {
         openRequests: () => openResponses.size + guard.waiting(),
         connections: () => guard.connections(),
+        acceptedConnections: () => acceptedConnections,
         waitingRequests: () => guard.waiting(),
         startDraining: exitTime => {
             exitsAt = exitTime;
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -3,6 +3,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { createServer } from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { getHeapStatistics } from "node:v8";
 import { createClientLimits, guardMonitoring, registerLimitMetrics } from "../client-limits/client-limits.js";
 import type { ClientLimits } from "../client-limits/client-limits.js";
@@ -95,6 +96,12 @@
 /** Interval between checks for open requests while draining, milliseconds. */
 const DRAIN_POLL_MILLISECONDS = 50;
 
+/**
+ * Turns of the event loop without a new connection after which all that has arrived is read. A turn accepts one
+ * connection of a listener; its bytes are read in the next turn.
+ */
+const QUIET_TURNS = 4;
+
 /** Timeout for flushing the log before the process exits, milliseconds. */
 const LOG_FLUSH_MILLISECONDS = 200;
 
@@ -650,9 +657,25 @@
         await delay(announceMilliseconds);
         // The load balancer may still send requests when no other node accepts any, so the listener stays
         // open.
+        const mayWait = (): boolean => elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS;
+        const countAccepted = (): number =>
+            servers.reduce((sum, server) => sum + server.acceptedConnections(), 0);
+        /** Timers run before input, so a process that was held up has not read what arrived meanwhile. */
+        const readArrived = async (): Promise<void> => {
+            let accepted = countAccepted();
+            for (let turns = 0; turns < QUIET_TURNS && countOpenRequests() === 0 && mayWait(); turns += 1) {
+                await nextTurn();
+                if (countAccepted() !== accepted) {
+                    accepted = countAccepted();
+                    turns = -1;
+                }
+            }
+        };
         const finishRequests = async (): Promise<void> => {
-            while (countOpenRequests() > 0 && elapsed() < graceMilliseconds - EXIT_MARGIN_MILLISECONDS) {
+            await readArrived();
+            while (countOpenRequests() > 0 && mayWait()) {
                 await delay(DRAIN_POLL_MILLISECONDS);
+                await readArrived();
             }
         };
         await finishRequests();
