Probe the upstream at the end of a plain answer without a length

Cause: an answer without framing ends with its connection, which a crash ends in the same way.

Change: a success without framing that is no stream ends after the same probe. If the upstream has crashed, the attempt is lost: a retry goes on elsewhere, an answer that has begun is cut, and any other is answered 502. Handovers have no probe, as for streams.

An upstream that lives on and closes such an answer early is still not found out, nor one that announced that it leaves.

--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -394,6 +394,44 @@
             };
         };
 
+        /** Ends an answer that is no stream. */
+        const resultOfPlainEnd = (isFramed: boolean): AttemptResult => {
+            if (mode === "pass") {
+                sink.endPlain(isFramed);
+                return { kind: "delivered", status };
+            }
+            const response = { status, headers, body: Buffer.concat(chunks), isFramed };
+            if (!isFramed && isSuccess(status) && options.mayRetryUnframed) {
+                return { kind: "failed", reason: "the end of the answer is not certain", response };
+            }
+            if (isFinal(status)) {
+                sink.sendBuffered(response);
+                return { kind: "delivered", status };
+            }
+            return { kind: "failed", reason: `upstream answered ${status}`, response };
+        };
+
+        /** Like `resultOfPlainEnd` for an answer whose upstream ended its connection, as a crash does. */
+        const resultOfUnframedPlainEnd = async (): Promise<AttemptResult> => {
+            if ((await options.hasCrashed?.()) === true) {
+                return { kind: "lost", reason: "the upstream crashed within an answer", isBrokenOff: true };
+            }
+            return settled ? { kind: "ended", reason: "caller left" } : resultOfPlainEnd(false);
+        };
+
+        /** Finishes with a result that takes a probe of the upstream. */
+        const finishAfterProbe = (result: Promise<AttemptResult>): void => {
+            // The answer is here: neither its deadline nor a pause may replace its result meanwhile.
+            timers.forEach(clearTimeout);
+            clearTimeout(gapTimer);
+            result.then(
+                finish,
+                guarded((error: unknown) => {
+                    throw error;
+                }),
+            );
+        };
+
         const onEnd = (): void => {
             clearTimeout(discardTimer);
             if (settled) {
@@ -402,15 +440,7 @@
             const isFramed = hasBodyFraming(headers);
             if (mode === "stream") {
                 if (!isFramed) {
-                    // The answer is here: neither its deadline nor a pause may replace its result meanwhile.
-                    timers.forEach(clearTimeout);
-                    clearTimeout(gapTimer);
-                    resultOfUnframedEnd().then(
-                        finish,
-                        guarded((error: unknown) => {
-                            throw error;
-                        }),
-                    );
+                    finishAfterProbe(resultOfUnframedEnd());
                 }
                 else if (sink.endStream()) {
                     finish({ kind: "delivered", status });
@@ -420,22 +450,11 @@
                 }
                 return;
             }
-            if (mode === "pass") {
-                sink.endPlain(isFramed);
-                finish({ kind: "delivered", status });
-                return;
-            }
-            const response = { status, headers, body: Buffer.concat(chunks), isFramed };
-            if (!isFramed && isSuccess(status) && options.mayRetryUnframed) {
-                finish({ kind: "failed", reason: "the end of the answer is not certain", response });
-                return;
-            }
-            if (isFinal(status)) {
-                sink.sendBuffered(response);
-                finish({ kind: "delivered", status });
+            if (!isFramed && isSuccess(status) && options.hasCrashed !== undefined) {
+                finishAfterProbe(resultOfUnframedPlainEnd());
                 return;
             }
-            finish({ kind: "failed", reason: `upstream answered ${status}`, response });
+            finish(resultOfPlainEnd(isFramed));
         };
 
         const onFailure = (
