Take the end of a stream that two upstreams agree on in any case

Callers lost whole streams without framing: where most streams of a service have framing, or the stream had begun with it, the router closed the answer without its last chunk although two upstreams had ended it after the same event. The agreement counted only for answers that went out without framing, which nothing does any more. Whether an end is agreed is now independent of what was expected when the answer began, and costs no third run.

Ruled out: to end such streams without an agreement, which would make a truncated one look complete where framing is the rule.

--- a/src/node/forwarding/attempt-policy.ts
+++ b/src/node/forwarding/attempt-policy.ts
@@ -36,7 +36,7 @@
     readonly unreachedMilliseconds: number;
     /** The caller has received the beginning of a response. */
     readonly hasBegun: boolean;
-    /** The stream goes to its caller without framing, and another attempt has ended after the same event. */
+    /** Two attempts have ended the stream after the same event. */
     readonly isEndAgreed: boolean;
     /** No part of a plain answer has reached the caller, which no other answer can continue. */
     readonly canContinue: boolean;
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -638,11 +638,10 @@
         /** Records whether the stream may have ended after its last event. */
         const recordEnd = (result: AttemptResult): void => {
             if (result.kind === "unconfirmed") {
-                const isEndStatedTwice =
+                isEndAgreed =
                     !result.hasNewEvents &&
                     unconfirmedEndId !== undefined &&
                     unconfirmedEndId === sink.lastEventId();
-                isEndAgreed = isEndStatedTwice && (!sink.hasBegun() || sink.mayEndUnconfirmed());
                 unconfirmedEndId = sink.lastEventId();
             }
             else if (
--- a/src/node/forwarding/response-sink.ts
+++ b/src/node/forwarding/response-sink.ts
@@ -37,16 +37,14 @@
     isWithinEvent(): boolean;
     /** Ends a stream that is complete. Returns false and keeps it open when an event is incomplete. */
     endStream(): boolean;
-    /** Whether the stream has begun and may end although nothing confirms its end. */
-    mayEndUnconfirmed(): boolean;
     /**
      * Ends a stream whose upstream ended its connection, which may also have been a crash. Returns false and
-     * keeps it open when an event is incomplete or the end must be confirmed. A stream without new events ends
-     * empty if its caller resumed it, and is kept open otherwise.
+     * keeps it open when an event is incomplete or the end must be confirmed and is not agreed. An agreed stream
+     * without new events ends empty if its caller resumed it.
      *
-     * @param mayBegin Whether another upstream has confirmed the end of a stream without new events.
+     * @param isAgreed Whether two upstreams have ended the stream after the same event.
      */
-    endUnconfirmed(mayBegin: boolean): boolean;
+    endUnconfirmed(isAgreed: boolean): boolean;
     /** Whether the answer ended as complete because its upstream ended the connection, as a crash does. */
     hasUnconfirmedEnd(): boolean;
     /**
@@ -159,15 +157,14 @@
             response.end();
             return true;
         },
-        mayEndUnconfirmed: () => hasBegun && !needsConfirmation,
-        endUnconfirmed: mayBegin => {
+        endUnconfirmed: isAgreed => {
             if (splitter.pendingBytes() > 0) {
                 return false;
             }
-            if (mayBegin && !hasBegun && streamHead !== undefined && options.lastEventId !== undefined) {
+            if (isAgreed && !hasBegun && streamHead !== undefined && options.lastEventId !== undefined) {
                 begin(streamHead.status, streamHead.headers);
             }
-            if (!hasBegun || needsConfirmation) {
+            if (!hasBegun || (needsConfirmation && !isAgreed)) {
                 return false;
             }
             hasUnconfirmedEnd = true;
