Decide at the end of an answer without framing whether it may be repeated

Callers got streams that ended as complete after an event, though another upstream could have gone on with them: whether the end might be confirmed was decided when the attempt began, by the upstreams and the retry budget of that moment. A stream lasts for seconds, in which both change. The decision now uses what is known when the answer ends: the attempts that are left, another upstream, the budget and what is suspected.

Ruled out: to ask always and let the policy of retries refuse, which would take the share of the budget that is kept for retries of failures.

--- a/src/node/forwarding/__tests__/attempt-errors.spec.ts
+++ b/src/node/forwarding/__tests__/attempt-errors.spec.ts
@@ -51,7 +51,7 @@
         headMilliseconds: undefined,
         gapMilliseconds: undefined,
         remainingMilliseconds: 1000,
-        mayRetryUnframed: false,
+        mayRetryUnframed: () => false,
         expectsConfirmation: false,
         callerLeft: new AbortController().signal,
         onError: error => errors.push(error.message),
--- a/src/node/forwarding/__tests__/attempt.spec.ts
+++ b/src/node/forwarding/__tests__/attempt.spec.ts
@@ -332,7 +332,7 @@
         const upstream = await createRawUpstream(context, (socket, attemptId) => {
             socket.end(createHead(200, attemptId, ["content-type: text/event-stream"]) + body);
         });
-        const { result, caller } = await upstream.send("a", { mayRetryUnframed: false });
+        const { result, caller } = await upstream.send("a", { mayRetryUnframed: () => false });
         assert.equal(result.kind, "lost");
         assert.equal(caller.complete, false);
     });
@@ -342,6 +342,6 @@
     const upstream = await createRawUpstream(context, (socket, attemptId) => {
         socket.end(`${createHead(200, attemptId, ["content-type: text/event-stream"])}id: 1\ndata: x\n\n`);
     });
-    const { result, caller } = await upstream.send("a", { mayRetryUnframed: false });
+    const { result, caller } = await upstream.send("a", { mayRetryUnframed: () => false });
     assert.deepEqual([result.kind, caller.complete], ["delivered", true]);
 });
--- a/src/node/forwarding/__tests__/probe-race.spec.ts
+++ b/src/node/forwarding/__tests__/probe-race.spec.ts
@@ -44,7 +44,7 @@
         headMilliseconds: 1000,
         gapMilliseconds: 1000,
         remainingMilliseconds: 5000,
-        mayRetryUnframed: false,
+        mayRetryUnframed: () => false,
         expectsConfirmation: false,
         hasCrashed: () => delay(PROBE_MILLISECONDS).then(() => false),
         callerLeft: callerLeft.signal,
--- a/src/node/forwarding/__tests__/raw-upstream.ts
+++ b/src/node/forwarding/__tests__/raw-upstream.ts
@@ -162,7 +162,7 @@
             headMilliseconds: 1000,
             gapMilliseconds: undefined,
             remainingMilliseconds: 5000,
-            mayRetryUnframed: false,
+            mayRetryUnframed: () => false,
             expectsConfirmation: false,
             callerLeft: callerLeft.signal,
             ...options.get(attemptId),
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -87,8 +87,8 @@
     readonly gapMilliseconds: number | undefined;
     /** Time until the deadline of the request, milliseconds. */
     readonly remainingMilliseconds: number;
-    /** The request may be retried when the response has no length, so that its end is uncertain. */
-    readonly mayRetryUnframed: boolean;
+    /** Whether the request may be retried now that a response without framing ended, so that its end is uncertain. */
+    readonly mayRetryUnframed: () => boolean;
     /** The end of a stream without framing will probably be confirmed by an attempt with it. */
     readonly expectsConfirmation: boolean;
     /**
@@ -384,7 +384,7 @@
             if ((await options.hasCrashed?.()) === true) {
                 return { kind: "lost", reason: "the upstream crashed after an event", isBrokenOff: true };
             }
-            if (!settled && !options.mayRetryUnframed && sink.endUnconfirmed(false)) {
+            if (!settled && !options.mayRetryUnframed() && sink.endUnconfirmed(false)) {
                 return { kind: "delivered", status };
             }
             return {
@@ -401,7 +401,7 @@
                 return { kind: "delivered", status };
             }
             const response = { status, headers, body: Buffer.concat(chunks), isFramed };
-            if (!isFramed && isSuccess(status) && options.mayRetryUnframed) {
+            if (!isFramed && isSuccess(status) && options.mayRetryUnframed()) {
                 return { kind: "failed", reason: "the end of the answer is not certain", response };
             }
             if (isFinal(status)) {
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -465,11 +465,15 @@
                 isRepeatable(route) && choice.candidates > 1 && executions + 1 < route.maximumAttempts;
             // An attempt that only confirms an end is not worth the wait.
             const hasTimeouts = canRetryElsewhere || unconfirmedEndId !== undefined;
-            const canConfirm =
-                options.retryBudget.remainingShare(service.name, sentAt) > RETRY_RESERVE &&
-                !options.quarantine.isSuspect(suspects, sentAt);
+            const canConfirm = (): boolean =>
+                options.retryBudget.remainingShare(service.name, clock.now()) > RETRY_RESERVE &&
+                !options.quarantine.isSuspect(suspects, clock.now());
+            const hasOtherUpstream = (): boolean =>
+                options
+                    .upstreamsOf(service.name)
+                    .some(({ entry }) => entry.id !== upstream.entry.id && !excluded.has(entry.id));
             const confirmations =
-                canRetryElsewhere && canConfirm
+                canRetryElsewhere && canConfirm()
                     ? Math.min(choice.candidates, route.maximumAttempts - executions) - 1
                     : 0;
             const scarceAttempt = exchange?.begin(upstream);
@@ -513,7 +517,11 @@
                         ? route.targetGapMilliseconds * GAP_TIMEOUT_RATIO
                         : undefined,
                 remainingMilliseconds: Math.max(0, deadline - sentAt),
-                mayRetryUnframed: canRetryElsewhere && canConfirm,
+                mayRetryUnframed: () =>
+                    isRepeatable(route) &&
+                    executions + 1 < route.maximumAttempts &&
+                    hasOtherUpstream() &&
+                    canConfirm(),
                 expectsConfirmation: expectsConfirmation(
                     options.framing.unframedShare(service.name),
                     confirmations,
@@ -798,7 +806,7 @@
                 headMilliseconds: undefined,
                 gapMilliseconds: undefined,
                 remainingMilliseconds,
-                mayRetryUnframed: false,
+                mayRetryUnframed: () => false,
                 expectsConfirmation: false,
                 callerLeft: request.callerLeft,
             });
