Reset answers to callers of HTTP/1.0 when a router process ends by itself

A caller of HTTP/1.0 saw streams, and plain answers over 64 KB without a length, end regularly in the middle when the process of its node ended with an uncaught exception, an unhandled rejection or process.exit. They cannot be sent in chunks, and the system closes the connections of a process regularly.

These three ends still run the listeners for the exit. One now waits 50 ms, as abortResponse does, so that what was sent is read first, and resets the connections of begun answers without chunks. It does nothing where there are none, as with callers of HTTP/1.1 alone.

Not covered, since no code of the process runs: SIGKILL and running out of memory.

--- a/src/node/common/reset-connection.ts
+++ b/src/node/common/reset-connection.ts
@@ -11,6 +11,17 @@
     socket.destroy();
 }
 
+/** Time for the other sides to read what was sent before the resets at an exit, milliseconds. */
+const EXIT_READ_MILLISECONDS = 50;
+
+/** Resets connections from a listener for the exit of the process, in which nothing asynchronous runs any more. */
+export function resetAtExit(sockets: readonly Socket[]): void {
+    if (sockets.length > 0) {
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, EXIT_READ_MILLISECONDS);
+        sockets.forEach(resetConnection);
+    }
+}
+
 /** Watches the end of a connection. */
 export interface ResetWatch {
     /** Whether the other side reset the connection before its end was read. */
--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: reads requests, matches them to routes and workspaces, and rejects all others. */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { BodyError, readBody } from "../client-limits/body-reader.js";
 import type { BodyFailure } from "../client-limits/body-reader.js";
 import type { ClientLimits } from "../client-limits/client-limits.js";
@@ -52,6 +53,8 @@
     startDraining(exitsAt: number): void;
     /** Stops listening and closes idle connections. */
     stopListening(): void;
+    /** Connections with a begun response that has no chunks, whose regular end may look like that of the response. */
+    connectionsToReset(): readonly Socket[];
     /** Closes all connections. Those without an open request have brought none that was read. */
     closeConnections(): void;
     /** Applies timeouts that an operator changed. */
@@ -427,6 +430,13 @@
             server.close();
             server.closeIdleConnections();
         },
+        connectionsToReset: () =>
+            [...openResponses]
+                .filter(
+                    ({ headersSent, chunkedEncoding, writableFinished }) =>
+                        headersSent && !chunkedEncoding && !writableFinished,
+                )
+                .flatMap(({ socket }) => socket ?? []),
         closeConnections: () => server.closeAllConnections(),
         applyLimits: (idleTimeoutMilliseconds, headerTimeoutMilliseconds) => {
             timeouts = {
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -11,6 +11,7 @@
 import { hashToUnit } from "../common/hash.js";
 import { addListener } from "../common/listener.js";
 import { createSystemRandom } from "../common/random.js";
+import { resetAtExit } from "../common/reset-connection.js";
 import { createDuties } from "../duties/duties.js";
 import { createScalingSources } from "../duties/scaling-sources.js";
 import { createForwardingServer } from "../forwarding/forwarding-server.js";
@@ -76,6 +77,11 @@
      * @throws ComponentError if such a start fails.
      */
     stop(): Promise<void>;
+    /**
+     * Resets the connections of answers that only the end of the connection ends, as those to callers of HTTP/1.0.
+     * When the process exits without a stop, the system would end them as if they were complete.
+     */
+    resetAnswers(): void;
     /**
      * Applies the peer seeds of a changed settings file. Other changes need a restart and are ignored. If the
      * settings cannot be read, logs the error and keeps the previous ones.
@@ -689,6 +695,7 @@
             });
             await lines.flush(LOG_FLUSH_MILLISECONDS);
         },
+        resetAnswers: () => resetAtExit(servers.flatMap(server => server.connectionsToReset())),
         reload: readConfig => {
             try {
                 const { seeds } = readConfig().peers;
