--- a/src/node/router/__tests__/router-settings.spec.ts
+++ b/src/node/router/__tests__/router-settings.spec.ts
@@ -4,6 +4,8 @@
 import { test } from "node:test";
 import { resolveRouterConfig, RouterSettingsError } from "../settings.js";
 
+const TEMPLATE = new URL("../../../../../deploy/settings.ini", import.meta.url);
+
 const VALID = [
     "[node]",
     "id = n1",
@@ -41,6 +43,75 @@
     assert.equal(config.stop.graceMilliseconds, 8000);
 });
 
+test("a key with an empty value gets its default and is named", () => {
+    const config = resolveRouterConfig(
+        "node.ini",
+        `${VALID}\napplyMilliseconds =\nlapseGraceMilliseconds = ""\n[retries]\nratio = ; none\n[handover]\nlisten =`,
+    );
+    assert.equal(config.store.applyMilliseconds, 2000);
+    assert.equal(config.store.lapseGraceMilliseconds, 1800);
+    assert.equal(config.retries.ratio, 0.9);
+    assert.equal(config.handover, undefined);
+    assert.deepEqual(config.notSet, [
+        "[store] applyMilliseconds",
+        "[store] lapseGraceMilliseconds",
+        "[retries] ratio",
+        "[handover] listen",
+    ]);
+    assert.deepEqual(config.sectionsOff, ["handover"]);
+});
+
+test("an empty value of a key that a node needs is refused", () => {
+    for (const [line, key] of [
+        [2, "id = n1"],
+        [5, "listen = 10.0.0.1:80"],
+        [15, "port = 84"],
+        [17, "endpoint = 10.0.0.9:90"],
+    ] as const) {
+        const name = key.split(" ")[0]!;
+        const text = VALID.replace(key, `${name} =`);
+        assert.match(messageOf(text), new RegExp(`line ${line}: section .* key "${name}": must be set`));
+    }
+});
+
+test("a part that is off is checked for unknown keys and wrong values", () => {
+    const off = `${VALID}\n[duties]\nendpoint =\n`;
+    assert.equal(resolveRouterConfig("node.ini", `${off}windowSeconds = 5`).duties, undefined);
+    assert.match(messageOf(`${off}windowSeconds = soon`), /line 20: section \[duties\] key "windowSeconds"/);
+    assert.match(messageOf(`${off}endpiont =`), /line 20: section \[duties\] key "endpiont" is unknown/);
+});
+
+test("duties that are asked for without an endpoint are refused", () => {
+    for (const key of ["names = usage_reporting", "usage = true", "scaling = true"]) {
+        assert.match(
+            messageOf(`${VALID}\n[duties]\nendpoint =\n${key}`),
+            /line 19: section \[duties\] key "endpoint": must be set/,
+        );
+    }
+});
+
+// Guards against a grace period of 0, which cuts the requests of a node at a planned stop.
+test("the template without a grace period leaves its default", () => {
+    const graceOf = (rendered: string): number => {
+        const text = fillTemplate(false).replace(/^(grace\w+ = ).*$/m, rendered);
+        return resolveRouterConfig("settings.ini", text).stop.graceMilliseconds;
+    };
+    const template = readFileSync(TEMPLATE, "utf8");
+    const line = /^grace\w+ = .*$/m.exec(template)![0];
+    const render = (value: string): string => line.replace("{{bounds.grace-period-s}}", value);
+    assert.equal(graceOf(render("")), 8000);
+    assert.equal(graceOf(render("9")), 9000);
+    assert.equal(graceOf(render("8.5")), 8500);
+    assert.equal(graceOf(render("0")), 0);
+});
+
+test("a grace period that is set twice is refused", () => {
+    assert.match(
+        messageOf(`${VALID}\n[stop]\ngraceMilliseconds = 5000\ngraceSeconds = 8`),
+        /line 20: section \[stop\] key "graceSeconds": must not be set beside/,
+    );
+});
+
 test("the error for an unknown key names its line", () => {
     assert.match(
         messageOf(VALID.replace("port = 84", "port = 84\nprot = 85")),
@@ -72,8 +143,7 @@
 
 /** Fills the template in as the platform does, with or without the sections that it renders only for some. */
 function fillTemplate(hasDuties: boolean): string {
-    const template = new URL("../../../../../deploy/settings.ini", import.meta.url);
-    return readFileSync(template, "utf8")
+    return readFileSync(TEMPLATE, "utf8")
         .replaceAll(/\{\{#([^}]+)\}\}\n([^]*?)\{\{\/\1\}\}\n/g, hasDuties ? "$2" : "")
         .replaceAll(/\{\{(listen-addresses\.[^}]+|platform\.[^}]+|cloud-api\.address)\}\}/g, "10.0.0.1:80")
         .replaceAll(/\{\{ip\}\}:\{\{internal-port-range\.\d\}\}/g, "10.0.0.1:80")
