--- a/src/node/forwarding/__tests__/doubtful-ends.spec.ts
+++ b/src/node/forwarding/__tests__/doubtful-ends.spec.ts
@@ -16,11 +16,12 @@
 const SELDOM_UNFRAMED = { framing: { record: () => undefined, unframedShare: () => 0 } };
 
 test("streams without framing that a leaving upstream cuts off together when it exits do not look complete", async context => {
-    const { send } = await createForwarderFixture(context, {
+    const { send } = await createForwarderFixture(context, defaults => ({
         ...USUALLY_UNFRAMED,
+        upstreamsOf: service => defaults.upstreamsOf(service).slice(0, 1),
         isLeaving: () => true,
         probe: () => Promise.resolve("refused"),
-    });
+    }));
     const open: Socket[] = [];
     const answers = await Promise.all(
         Array.from({ length: 4 }, () =>
