--- a/src/node/forwarding/__tests__/lost-handovers.spec.ts
+++ b/src/node/forwarding/__tests__/lost-handovers.spec.ts
@@ -183,3 +183,28 @@
     assert.equal(answer.status, 502);
     assert.deepEqual(granted, ["3"]);
 });
+
+test("an idempotent request whose helper hangs is sent to another helper in time", async context => {
+    const { send, granted } = await createIsolatedForwarder(context, 2);
+    const startedAt = Date.now();
+    const answer = await send(
+        { kind: "idempotent", targetLatencyMilliseconds: 100 },
+        losesFirst(() => undefined),
+    );
+    assert.deepEqual([answer.status, answer.body], [200, "whole"]);
+    assert.deepEqual(granted, ["2", "1"]);
+    assert.ok(Date.now() - startedAt < 1500);
+});
+
+test("a stream whose helper hangs after an event goes on at another helper", async context => {
+    const { send } = await createIsolatedForwarder(context, 2);
+    const answer = await send(
+        { targetLatencyMilliseconds: 100, targetGapMilliseconds: 100 },
+        (socket, attempt, head) => {
+            const event = attempt === 0 ? "id: 1\ndata: a\n\n" : "id: 2\ndata: b\n\n";
+            const end = attempt === 0 ? "" : LAST_CHUNK;
+            socket.write(`${head}${STREAM}\r\n${chunk(event)}${end}`);
+        },
+    );
+    assert.deepEqual([answer.body, answer.end], ["id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "framed"]);
+});
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -764,6 +764,12 @@
                 attemptsLeft,
                 handover.chooseHelper(excludedHelpers) !== undefined,
             );
+            // A request that can be repeated is taken from a helper that hangs, after the helper's own timeouts.
+            // Where capacity is scarce, a sound helper holds requests until it is their turn.
+            const headMilliseconds =
+                helperAttempts < attemptsLeft && options.scarcity === undefined
+                    ? route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO * helperAttempts
+                    : undefined;
             handovers += 1;
             handover.onHandover();
             const sentAt = clock.now();
@@ -796,8 +802,11 @@
                 tryEscalate: () => false,
                 onError: error => options.recordError?.(error, head.attemptId),
                 connectMilliseconds: CONNECT_MILLISECONDS,
-                headMilliseconds: undefined,
-                gapMilliseconds: undefined,
+                headMilliseconds,
+                gapMilliseconds:
+                    headMilliseconds === undefined || route.targetGapMilliseconds === undefined
+                        ? undefined
+                        : route.targetGapMilliseconds * GAP_TIMEOUT_RATIO + headMilliseconds,
                 remainingMilliseconds,
                 mayRetryUnframed: false,
                 expectsConfirmation: false,
