Judge ends of answers by what their attempts have shown

Callers saw, or would see:

- Answers without a body (204, and HEAD by reading) of an upstream that had ended since: 502 instead of the 204, or three runs.
The crash probe took them for answers that end with their connection.
- A stream in chunks that broke off after event 1 of 3, and that two attempts which sent nothing then "agreed" on, as complete.
- The same for a stream that was reset, or broke off within its next event, where one attempt that sent nothing followed.

An answer without a body has a certain end. A stream that broke off after new events, or within one, is known to go on, so it cannot end there.

--- a/src/node/dispatch/service-exchange.ts
+++ b/src/node/dispatch/service-exchange.ts
@@ -6,7 +6,7 @@
 import { formatProblem } from "../callers/errors.js";
 import type { Billing } from "../billing/billing.js";
 import type { Claims, RecordedOutcome } from "../claims/claims.js";
-import { hasBodyFraming } from "../forwarding/attempt.js";
+import { hasCertainEnd } from "../forwarding/attempt.js";
 import type { UpstreamHead } from "../placement/engine-choice.js";
 import type { UpstreamSend } from "../upstreams/send.js";
 import { MAXIMUM_SERVICE_RESPONSE_BYTES, OUTCOME_STORE_TIMEOUT_MILLISECONDS } from "./constants.js";
@@ -50,9 +50,6 @@
     HEADER.bootId,
 ];
 
-/** Statuses of answers that have no body, so that no connection has to end them. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 export function createServiceExchange(
     requestId: string,
     submission: ServiceSubmission,
@@ -162,11 +159,8 @@
                             };
                             void complete(request, attempt);
                         };
-                        const endsWithConnection =
-                            submission.method !== "HEAD" &&
-                            !BODILESS_STATUSES.has(status) &&
-                            !hasBodyFraming(headers);
-                        if (!endsWithConnection || dependencies.hasCrashed === undefined) {
+                        const isEndCertain = hasCertainEnd(submission.method, status, headers);
+                        if (isEndCertain || dependencies.hasCrashed === undefined) {
                             return accept();
                         }
                         return dependencies
--- a/src/node/forwarding/__tests__/crashed-plain-answers.spec.ts
+++ b/src/node/forwarding/__tests__/crashed-plain-answers.spec.ts
@@ -66,3 +66,13 @@
     });
     assert.deepEqual([answer.body, answer.end], ["whole", "framed"]);
 });
+
+for (const kind of ["once", "idempotent"] as const) {
+    test(`an answer without a body is whole though its upstream has ended since, ${kind}`, async context => {
+        const { send } = await createFixture(context, "refused");
+        const answer = await send({ kind }, (socket, _attempt, head) => {
+            socket.write(`${head.replace("200 x", "204 x")}\r\n`);
+        });
+        assert.deepEqual([answer.status, answer.isEndUnconfirmed], [204, false]);
+    });
+}
--- a/src/node/forwarding/__tests__/doubtful-ends.spec.ts
+++ b/src/node/forwarding/__tests__/doubtful-ends.spec.ts
@@ -83,3 +83,17 @@
     const answer = await send({}, streamOf(plan));
     assert.deepEqual([answer.body, answer.end], [WHOLE, "framed"]);
 });
+
+test("two attempts without an event confirm no end of a stream that broke within its chunks", async context => {
+    const { send } = await createForwarderFixture(context, SELDOM_UNFRAMED);
+    const nothing: PlannedAttempt = { ...TRUNCATED, bytes: 0 };
+    const answer = await send({}, streamOf([{ ...BROKEN_CHUNKED, bytes: 24 }, nothing, nothing]));
+    assert.equal(answer.end, "broken", JSON.stringify(answer));
+});
+
+test("two attempts without an event confirm no end of a stream that broke within its next event", async context => {
+    const { send } = await createForwarderFixture(context, USUALLY_UNFRAMED);
+    const nothing: PlannedAttempt = { ...TRUNCATED, bytes: 0 };
+    const answer = await send({}, streamOf([{ ...TRUNCATED, bytes: 20 }, nothing, nothing]));
+    assert.equal(answer.end, "broken", JSON.stringify(answer));
+});
--- a/src/node/forwarding/__tests__/lost-handovers.spec.ts
+++ b/src/node/forwarding/__tests__/lost-handovers.spec.ts
@@ -5,6 +5,7 @@
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { resetConnection } from "../../common/reset-connection.js";
+import type { ProbeResult } from "../../handover/reachability.js";
 import type { Handover } from "../request-forwarder.js";
 import { createForwarderFixture } from "./forwarder-fixture.js";
 import type { ForwarderFixture, RespondToAttempt } from "./forwarder-fixture.js";
@@ -25,6 +26,7 @@
     context: TestContext,
     helperCount: number,
     canConsume = true,
+    probed: ProbeResult = "connected",
 ): Promise<IsolatedForwarder> {
     const helpers: string[] = [];
     const granted: (string | undefined)[] = [];
@@ -43,6 +45,7 @@
         };
         return {
             handover,
+            probe: () => Promise.resolve(probed),
             retryBudget: { ...defaults.retryBudget, tryConsume: () => canConsume },
             codec: {
                 ...defaults.codec,
@@ -208,3 +211,28 @@
     );
     assert.deepEqual([answer.body, answer.end], ["id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "framed"]);
 });
+
+test("a request that its helper decided not to repeat is not repeated", async context => {
+    const { send, granted } = await createIsolatedForwarder(context, 2);
+    const answer = await send({ kind: "idempotent" }, (socket, _attempt, head) => {
+        const failed = head.replace("200 x", "502 x");
+        socket.write(`${failed}router-response: 1\r\ncontent-length: 0\r\n\r\n`);
+    });
+    assert.equal(answer.status, 502);
+    assert.deepEqual(granted, ["2"]);
+});
+
+// A helper of the previous version sends streams as their upstreams did.
+test("a stream without framing of a helper that died goes on at another one", async context => {
+    const { send } = await createIsolatedForwarder(context, 2, true, "refused");
+    const answer = await send({}, (socket, attempt, head, lastEventId) => {
+        if (attempt === 0) {
+            socket.write(`${head}content-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n`);
+            setTimeout(() => socket.end(), 20);
+            return;
+        }
+        assert.equal(lastEventId, 1);
+        socket.write(`${head}${STREAM}\r\n${chunk("id: 2\ndata: b\n\n")}${LAST_CHUNK}`);
+    });
+    assert.deepEqual([answer.body, answer.end], ["id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "framed"]);
+});
--- a/src/node/forwarding/attempt-policy.ts
+++ b/src/node/forwarding/attempt-policy.ts
@@ -5,6 +5,7 @@
  * run, because the upstream failed, hung or lost the response, is retried only where the route allows it. The
  * functions have no side effects, except that they consume the retry budget.
  */
+import { isRouterResponse } from "../handover/router-response.js";
 import { isRepeatable } from "../routes/entities.js";
 import type { Route } from "../routes/entities.js";
 import type { AttemptResult } from "./attempt.js";
@@ -175,7 +176,8 @@
                 : { kind: "retry", reason: result.reason };
         }
         case "failed":
-            return canRetryAfterExecution(progress)
+            // The helper has decided that the request is not repeated.
+            return !isRouterResponse(result.response.headers) && canRetryAfterExecution(progress)
                 ? { kind: "retry", reason: result.reason }
                 : { kind: "pass-failure" };
         case "unconfirmed":
--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -46,8 +46,9 @@
     | { readonly kind: "failed"; readonly reason: string; readonly response: BufferedResponse }
     /**
      * The request may have run; there is no usable response. `isBrokenOff` states that the upstream ended the
-     * connection before the response was complete, as a crash does; `refutesEnd` that a stream goes on after its
-     * last event, or that its upstream cannot tell.
+     * connection before the response was complete, as a crash does; `refutesEnd` that a stream probably goes on
+     * after its last event: it broke off within the next event or before the end of its framing, or has foreign
+     * bytes.
      */
     | {
           readonly kind: "lost";
@@ -146,9 +147,24 @@
 /** Transfer codings of which the last is chunked; others end with the connection. */
 const CHUNKED = /(^|,)\s*chunked\s*$/i;
 
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether a response has no body, whatever its headers say. */
+export function isBodiless(method: string | undefined, status: number): boolean {
+    return method === "HEAD" || BODILESS_STATUSES.has(status);
+}
+
 /** Whether the end of a response can be distinguished from the end of its connection. */
-export function hasBodyFraming(headers: IncomingHttpHeaders): boolean {
-    return headers["content-length"] !== undefined || CHUNKED.test(headers["transfer-encoding"] ?? "");
+export function hasCertainEnd(
+    method: string | undefined,
+    status: number,
+    headers: IncomingHttpHeaders,
+): boolean {
+    return (
+        isBodiless(method, status) ||
+        headers["content-length"] !== undefined ||
+        CHUNKED.test(headers["transfer-encoding"] ?? "")
+    );
 }
 
 /** Returns why a response does not belong to the request or cannot be trusted, or `undefined`. */
@@ -182,6 +198,7 @@
         const eventsAtStart = sink.eventCount();
         let status = 0;
         let headers: IncomingHttpHeaders = {};
+        let isFramed = false;
         let mode: "waiting" | "stream" | "buffer" | "pass" | "discard" = "waiting";
         let chunks: Buffer[] = [];
         let size = 0;
@@ -279,7 +296,8 @@
             headers = receivedHeaders;
             clearTimeout(headTimer);
             const head = options.decodeHead(status, headers);
-            options.onHead?.(head, status, hasBodyFraming(headers));
+            isFramed = hasCertainEnd(options.request.method, status, headers);
+            options.onHead?.(head, status, isFramed);
             const mismatch = mismatchReason(status, head, options.attemptId);
             if (mismatch !== undefined) {
                 cancel({ kind: "lost", reason: mismatch });
@@ -303,7 +321,7 @@
             }
             mode = isSuccess(status) && head.isEventStream ? "stream" : "buffer";
             if (mode === "stream") {
-                sink.beginStream(status, headers, hasBodyFraming(headers) || options.expectsConfirmation);
+                sink.beginStream(status, headers, isFramed || options.expectsConfirmation);
                 restartGapTimer();
             }
             else if (sink.hasBegun()) {
@@ -373,10 +391,21 @@
             }
         };
 
+        const lostWithinEvent = (): AttemptResult => ({
+            kind: "lost",
+            reason: "the stream ended within an event",
+            isBrokenOff: true,
+            refutesEnd: true,
+        });
+
+        /** Whether a stream broke off that the upstream would have gone on with. */
+        const hasStreamBroken = (): boolean =>
+            mode === "stream" && (sink.isWithinEvent() || sink.eventCount() > eventsAtStart);
+
         /** Result of a stream whose upstream ended its connection, which is the end of the stream or a break. */
         const resultOfUnframedEnd = async (): Promise<AttemptResult> => {
             if (sink.isWithinEvent()) {
-                return { kind: "lost", reason: "the stream ended within an event", isBrokenOff: true };
+                return lostWithinEvent();
             }
             if (sink.lastEventId() === undefined) {
                 return { kind: "lost", reason: "the stream ended before its first event", isBrokenOff: true };
@@ -395,7 +424,7 @@
         };
 
         /** Ends an answer that is no stream. */
-        const resultOfPlainEnd = (isFramed: boolean): AttemptResult => {
+        const resultOfPlainEnd = (): AttemptResult => {
             if (mode === "pass") {
                 sink.endPlain(isFramed);
                 return { kind: "delivered", status };
@@ -416,7 +445,7 @@
             if ((await options.hasCrashed?.()) === true) {
                 return { kind: "lost", reason: "the upstream crashed within an answer", isBrokenOff: true };
             }
-            return settled ? { kind: "ended", reason: "caller left" } : resultOfPlainEnd(false);
+            return settled ? { kind: "ended", reason: "caller left" } : resultOfPlainEnd();
         };
 
         /** Finishes with a result that takes a probe of the upstream. */
@@ -437,7 +466,6 @@
             if (settled) {
                 return;
             }
-            const isFramed = hasBodyFraming(headers);
             if (mode === "stream") {
                 if (!isFramed) {
                     finishAfterProbe(resultOfUnframedEnd());
@@ -446,7 +474,7 @@
                     finish({ kind: "delivered", status });
                 }
                 else {
-                    finish({ kind: "lost", reason: "the stream ended within an event", isBrokenOff: true });
+                    finish(lostWithinEvent());
                 }
                 return;
             }
@@ -454,7 +482,7 @@
                 finishAfterProbe(resultOfUnframedPlainEnd());
                 return;
             }
-            finish(resultOfPlainEnd(isFramed));
+            finish(resultOfPlainEnd());
         };
 
         const onFailure = (
@@ -467,7 +495,7 @@
             finish(
                 verdict === "not-run"
                     ? { kind: "not-run", reason, isUnreached: !isBrokenOff, isGone: isRefused }
-                    : { kind: "lost", reason, isBrokenOff },
+                    : { kind: "lost", reason, isBrokenOff, refutesEnd: hasStreamBroken() },
             );
         };
 
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -271,6 +271,11 @@
 export function createRequestForwarder(options: RequestForwarderOptions) {
     const { clock, codec } = options;
 
+    const hasStoppedListening = async (address: string): Promise<boolean> => {
+        await delay(CRASH_SETTLE_MILLISECONDS);
+        return (await options.probe(address)) === "refused";
+    };
+
     return async (request: MatchedRequest, response: ServerResponse): Promise<RequestEnd> => {
         const { head, service, trace } = request;
         const route = withinAttempts(request.route, head.maximumAttempts);
@@ -528,13 +533,8 @@
                 ),
                 callerLeft: request.callerLeft,
                 withdrawn: withdrawal.signal,
-                hasCrashed: async () => {
-                    if (options.isLeaving(upstream)) {
-                        return false;
-                    }
-                    await delay(CRASH_SETTLE_MILLISECONDS);
-                    return (await options.probe(upstream.entry.address)) === "refused";
-                },
+                hasCrashed: async () =>
+                    !options.isLeaving(upstream) && (await hasStoppedListening(upstream.entry.address)),
                 onEvents: isFirst => {
                     if (isFirst) {
                         recordRun();
@@ -648,15 +648,16 @@
             if (result.kind === "unconfirmed") {
                 isEndAgreed =
                     !result.hasNewEvents &&
+                    !sink.isEndRefuted() &&
                     unconfirmedEndId !== undefined &&
                     unconfirmedEndId === sink.lastEventId();
                 unconfirmedEndId = sink.lastEventId();
+                return;
             }
-            else if (
-                (result.kind === "lost" && result.refutesEnd === true) ||
-                sink.isWithinEvent() ||
-                unconfirmedEndId !== sink.lastEventId()
-            ) {
+            if (result.kind === "lost" && result.refutesEnd === true) {
+                sink.refuteEnd();
+            }
+            if (sink.isEndRefuted() || sink.isWithinEvent() || unconfirmedEndId !== sink.lastEventId()) {
                 unconfirmedEndId = undefined;
             }
         };
@@ -771,7 +772,7 @@
                 attemptsLeft,
                 handover.chooseHelper(excludedHelpers) !== undefined,
             );
-            // A request that can be repeated is taken from a helper that hangs, after the helper's own timeouts.
+            // A request that can be repeated is taken from a helper that hangs.
             // Where capacity is scarce, a sound helper holds requests until it is their turn.
             const headMilliseconds =
                 helperAttempts < attemptsLeft && options.scarcity === undefined
@@ -817,6 +818,8 @@
                 remainingMilliseconds,
                 mayRetryUnframed: () => false,
                 expectsConfirmation: false,
+                // A helper of a version that sends streams without framing.
+                hasCrashed: () => hasStoppedListening(helper.address),
                 callerLeft: request.callerLeft,
             });
             trace.add("attempts", "A handover ended.", {
--- a/src/node/forwarding/response-sink.ts
+++ b/src/node/forwarding/response-sink.ts
@@ -5,6 +5,7 @@
  * without them is the end of its connection, which also ends when the node dies.
  */
 import type { IncomingHttpHeaders, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import { isBodiless } from "./attempt.js";
 import type { BufferedResponse } from "./attempt.js";
 import { createEventSplitter } from "./event-splitter.js";
 import type { EventSplitter, SplitChunk } from "./event-splitter.js";
@@ -39,12 +40,17 @@
     endStream(): boolean;
     /**
      * Ends a stream whose upstream ended its connection, which may also have been a crash. Returns false and
-     * keeps it open when an event is incomplete or the end must be confirmed and is not agreed. An agreed stream
+     * keeps it open when an event is incomplete, or the end is refuted, or must be confirmed and is not agreed. An
+     * agreed stream
      * without new events ends empty if its caller resumed it.
      *
      * @param isAgreed Whether two upstreams have ended the stream after the same event.
      */
     endUnconfirmed(isAgreed: boolean): boolean;
+    /** States that the stream goes on after its last event, so that it cannot end there. */
+    refuteEnd(): void;
+    /** Whether the stream is known to go on after its last event. */
+    isEndRefuted(): boolean;
     /** Whether the answer ended as complete because its upstream ended the connection, as a crash does. */
     hasUnconfirmedEnd(): boolean;
     /**
@@ -94,6 +100,7 @@
     let hasBegunPlain = false;
     let needsConfirmation = false;
     let hasUnconfirmedEnd = false;
+    let refutedEndId: string | undefined;
     let drainListener: (() => void) | undefined;
     const reportUnread = (): void => options.onUnread?.(response.writableLength);
     response.on("drain", () => {
@@ -103,6 +110,8 @@
         listener?.();
     });
 
+    const isEndRefuted = (): boolean => refutedEndId !== undefined && refutedEndId === splitter.lastEventId();
+
     const begin = (status: number, headers: OutgoingHttpHeaders): void => {
         hasBegun = true;
         options.onFirstByte();
@@ -164,13 +173,17 @@
             if (isAgreed && !hasBegun && streamHead !== undefined && options.lastEventId !== undefined) {
                 begin(streamHead.status, streamHead.headers);
             }
-            if (!hasBegun || (needsConfirmation && !isAgreed)) {
+            if (!hasBegun || isEndRefuted() || (needsConfirmation && !isAgreed)) {
                 return false;
             }
             hasUnconfirmedEnd = true;
             response.end();
             return true;
         },
+        refuteEnd: () => {
+            refutedEndId = splitter.lastEventId();
+        },
+        isEndRefuted,
         hasUnconfirmedEnd: () => hasUnconfirmedEnd,
         endPlain: isFramed => {
             hasUnconfirmedEnd = !isFramed;
@@ -179,8 +192,9 @@
         sendBuffered: buffered => {
             hasUnconfirmedEnd = !buffered.isFramed;
             const headers = options.encodeHeaders(buffered.headers);
-            const hasBody = buffered.isFramed || buffered.body.length > 0;
-            const length = hasBody ? { "content-length": buffered.body.length } : {};
+            const length = isBodiless(response.req.method, buffered.status)
+                ? {}
+                : { "content-length": buffered.body.length };
             begin(buffered.status, { ...headers, ...length });
             response.end(buffered.body);
             reportUnread();
--- a/src/node/handover/router-response.ts
+++ b/src/node/handover/router-response.ts
@@ -44,6 +44,11 @@
     };
 }
 
+/** Whether a helper has generated a response itself. */
+export function isRouterResponse(headers: IncomingHttpHeaders): boolean {
+    return headers[ROUTER_RESPONSE_HEADER] !== undefined;
+}
+
 /** Decodes a helper's response. A response of its router says by its status whether the request ran. */
 export function decodeHelperResponse(
     codec: HeaderCodec,
@@ -51,8 +56,7 @@
     headers: IncomingHttpHeaders,
 ): ResponseHead {
     const head = codec.decodeResponse(status, headers);
-    const isRouterResponse = headers[ROUTER_RESPONSE_HEADER] !== undefined;
-    return { ...head, isNotRun: isRouterResponse && !UNCERTAIN_STATUSES.has(status) };
+    return { ...head, isNotRun: isRouterResponse(headers) && !UNCERTAIN_STATUSES.has(status) };
 }
 
 /** Removes the mark from the headers of a response that goes to a caller. */
