Recognize a leaving upstream that cuts off its streams together

Callers of a route that may not be resumed would see streams without framing end as complete after event 1 of 3, when an upstream that has announced its leaving, or whose entry is gone, exits within them. The crash probe was not asked there, because a leaving upstream may stop listening before it ends its last streams whole.

An exit ends all answers of a process at one moment. A refused probe at a leaving upstream now counts as a crash if another answer of that process ended with its connection, or broke off, within 50 ms. A single stream stays undecidable and ends as before. Cost: one probe and 50 ms at the end of a stream without framing of a leaving upstream.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -53,6 +53,7 @@
     sessionKeyOf,
     sharedTokens,
 } from "./request-shape.js";
+import { createSharedEnds } from "./shared-ends.js";
 import { pauseAfterRejection } from "./rejection-pause.js";
 import { evidenceGroupOf } from "../shifts/shift-evidence.js";
 import type { AnswerOutcome } from "../shifts/shift-evidence.js";
@@ -270,6 +271,7 @@
 
 export function createRequestForwarder(options: RequestForwarderOptions) {
     const { clock, codec } = options;
+    const sharedEnds = createSharedEnds();
 
     const hasStoppedListening = async (address: string): Promise<boolean> => {
         await delay(CRASH_SETTLE_MILLISECONDS);
@@ -533,8 +535,14 @@
                 ),
                 callerLeft: request.callerLeft,
                 withdrawn: withdrawal.signal,
-                hasCrashed: async () =>
-                    !options.isLeaving(upstream) && (await hasStoppedListening(upstream.entry.address)),
+                hasCrashed: async () => {
+                    const endedAt = clock.now();
+                    sharedEnds.record(process, endedAt);
+                    const isGone = await hasStoppedListening(upstream.entry.address);
+                    const isSharedEnd = sharedEnds.isShared(process, endedAt - CRASH_SETTLE_MILLISECONDS);
+                    // One that leaves may refuse connections before it ends its streams.
+                    return isGone && (!options.isLeaving(upstream) || isSharedEnd);
+                },
                 onEvents: isFirst => {
                     if (isFirst) {
                         recordRun();
@@ -593,6 +601,7 @@
             const isBrokenOff = result.kind === "lost" && result.isBrokenOff === true;
             options.countAttempt(service.name, upstream.entry.version, usedModel, result.kind);
             if (isBrokenOff) {
+                sharedEnds.record(process, endedAt);
                 options.countBrokenOff(service.name, events > 0);
                 if (!options.isLeaving(upstream)) {
                     if (events === 0) {
