--- a/src/node/forwarding/forwarding-server.ts
+++ b/src/node/forwarding/forwarding-server.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: reads requests, matches them to routes and workspaces, and rejects all others. */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { BodyError, readBody } from "../client-limits/body-reader.js";
 import type { BodyFailure } from "../client-limits/body-reader.js";
 import type { ClientLimits } from "../client-limits/client-limits.js";
@@ -42,6 +43,8 @@
     openRequests(): number;
     /** Open connections. */
     connections(): number;
+    /** Connections that were accepted since the start. */
+    acceptedConnections(): number;
     /** Requests that wait until the requests before them on their connections have ended. */
     waitingRequests(): number;
     /**
@@ -52,6 +55,8 @@
     startDraining(exitsAt: number): void;
     /** Stops listening and closes idle connections. */
     stopListening(): void;
+    /** Connections with a begun response that has no chunks, whose regular end may look like that of the response. */
+    connectionsToReset(): readonly Socket[];
     /** Closes all connections. Those without an open request have brought none that was read. */
     closeConnections(): void;
     /** Applies timeouts that an operator changed. */
@@ -191,6 +196,7 @@
     const { codec, clock } = options;
     const openResponses = new Set<ServerResponse>();
     let exitsAt: number | undefined;
+    let acceptedConnections = 0;
 
     let timeouts = {
         idleMilliseconds: DEFAULT_IDLE_MILLISECONDS,
@@ -398,6 +404,7 @@
         requestTimeout: 0,
         noDelay: true,
     });
+    server.on("connection", () => (acceptedConnections += 1));
     const guard = options.clientLimits.guard(server, {
         listener: options.name,
         maximumConnections: options.maximumConnections,
@@ -419,6 +426,7 @@
     return {
         openRequests: () => openResponses.size + guard.waiting(),
         connections: () => guard.connections(),
+        acceptedConnections: () => acceptedConnections,
         waitingRequests: () => guard.waiting(),
         startDraining: exitTime => {
             exitsAt = exitTime;
@@ -427,6 +435,13 @@
             server.close();
             server.closeIdleConnections();
         },
+        connectionsToReset: () =>
+            [...openResponses]
+                .filter(
+                    ({ headersSent, chunkedEncoding, writableFinished }) =>
+                        headersSent && !chunkedEncoding && !writableFinished,
+                )
+                .flatMap(({ socket }) => socket ?? []),
         closeConnections: () => server.closeAllConnections(),
         applyLimits: (idleTimeoutMilliseconds, headerTimeoutMilliseconds) => {
             timeouts = {
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -465,11 +465,15 @@
                 isRepeatable(route) && choice.candidates > 1 && executions + 1 < route.maximumAttempts;
             // An attempt that only confirms an end is not worth the wait.
             const hasTimeouts = canRetryElsewhere || unconfirmedEndId !== undefined;
-            const canConfirm =
-                options.retryBudget.remainingShare(service.name, sentAt) > RETRY_RESERVE &&
-                !options.quarantine.isSuspect(suspects, sentAt);
+            const canConfirm = (): boolean =>
+                options.retryBudget.remainingShare(service.name, clock.now()) > RETRY_RESERVE &&
+                !options.quarantine.isSuspect(suspects, clock.now());
+            const hasOtherUpstream = (): boolean =>
+                options
+                    .upstreamsOf(service.name)
+                    .some(({ entry }) => entry.id !== upstream.entry.id && !excluded.has(entry.id));
             const confirmations =
-                canRetryElsewhere && canConfirm
+                canRetryElsewhere && canConfirm()
                     ? Math.min(choice.candidates, route.maximumAttempts - executions) - 1
                     : 0;
             const scarceAttempt = exchange?.begin(upstream);
@@ -513,7 +517,11 @@
                         ? route.targetGapMilliseconds * GAP_TIMEOUT_RATIO
                         : undefined,
                 remainingMilliseconds: Math.max(0, deadline - sentAt),
-                mayRetryUnframed: canRetryElsewhere && canConfirm,
+                mayRetryUnframed: () =>
+                    isRepeatable(route) &&
+                    executions + 1 < route.maximumAttempts &&
+                    hasOtherUpstream() &&
+                    canConfirm(),
                 expectsConfirmation: expectsConfirmation(
                     options.framing.unframedShare(service.name),
                     confirmations,
@@ -638,11 +646,10 @@
         /** Records whether the stream may have ended after its last event. */
         const recordEnd = (result: AttemptResult): void => {
             if (result.kind === "unconfirmed") {
-                const isEndStatedTwice =
+                isEndAgreed =
                     !result.hasNewEvents &&
                     unconfirmedEndId !== undefined &&
                     unconfirmedEndId === sink.lastEventId();
-                isEndAgreed = isEndStatedTwice && (!sink.hasBegun() || sink.mayEndUnconfirmed());
                 unconfirmedEndId = sink.lastEventId();
             }
             else if (
@@ -764,6 +771,12 @@
                 attemptsLeft,
                 handover.chooseHelper(excludedHelpers) !== undefined,
             );
+            // A request that can be repeated is taken from a helper that hangs, after the helper's own timeouts.
+            // Where capacity is scarce, a sound helper holds requests until it is their turn.
+            const headMilliseconds =
+                helperAttempts < attemptsLeft && options.scarcity === undefined
+                    ? route.targetLatencyMilliseconds * HEAD_TIMEOUT_RATIO * helperAttempts
+                    : undefined;
             handovers += 1;
             handover.onHandover();
             const sentAt = clock.now();
@@ -796,10 +809,13 @@
                 tryEscalate: () => false,
                 onError: error => options.recordError?.(error, head.attemptId),
                 connectMilliseconds: CONNECT_MILLISECONDS,
-                headMilliseconds: undefined,
-                gapMilliseconds: undefined,
+                headMilliseconds,
+                gapMilliseconds:
+                    headMilliseconds === undefined || route.targetGapMilliseconds === undefined
+                        ? undefined
+                        : route.targetGapMilliseconds * GAP_TIMEOUT_RATIO + headMilliseconds,
                 remainingMilliseconds,
-                mayRetryUnframed: false,
+                mayRetryUnframed: () => false,
                 expectsConfirmation: false,
                 callerLeft: request.callerLeft,
             });
