Close a connection that is ending instead of resetting it

Whether a node reached this is not known.

The new test did not end on the code before (ended by hand after 10 minutes), and passes; it has a time limit now.

--- a/src/node/common/reset-connection.ts
+++ b/src/node/common/reset-connection.ts
@@ -3,9 +3,14 @@
 
 /**
  * Resets a connection at once. `resetAndDestroy` of Node.js sends a regular end first, and the other side may
- * see that before the reset.
+ * see that before the reset. A connection that is ending is closed: libuv rejects its reset (EINVAL), after which
+ * Node.js never closes it.
  */
 export function resetConnection(socket: Socket): void {
+    if (socket.writableEnded && !socket.writableFinished) {
+        socket.destroy();
+        return;
+    }
     // `destroy` resets the connection when this is set, and there is no public way to set it.
     Object.assign(socket, { resetAndClosing: true });
     socket.destroy();
