Start a node where a platform has no value for a setting

Operators saw: on a platform without the newer fields, the template renders `applyMilliseconds = `, `memoryMegabytes = ` and others, and a whole [duties] of empty values where sections are not understood. Other empty values were taken for 0 without a line: the retry ratio, the exposure share, the ports of the daemon's listeners.

Cause: an empty value is the text "", which the schemas of both programs coerce to 0 or check like any other. Defaults apply to absent keys only.

Ruled out: the template. Fields that are missing one by one cannot all be sections, and a platform that does not understand sections keeps their content.

Change: an empty value is not set, in both programs and at a reload. Its default applies, one line at the start names it, and a needed key without a value is refused ("must be set"). [handover] without `listen` and [duties] without `endpoint` are off; [duties] is refused if `names`, `usage` or `scaling` asks for a duty that has no endpoint. The other keys of [duties] only adjust it and do not ask for it: their fields may be there without it. Unknown keys and wrong values are refused as before, also in a part that is off. The daemon does not name keys that are empty by default, as the sample shows them.

--- a/src/node/daemon/__tests__/cluster.ts
+++ b/src/node/daemon/__tests__/cluster.ts
@@ -278,6 +278,7 @@
 function settingsOf(id: string, options: ClusterOptions): ResolvedConfig {
     const listener = { address: "127.0.0.1", port: 0, certificateFile: "", privateKeyFile: "" };
     return {
+        notSet: [],
         node: { id, dataCentre: options.dataCentreOf(id), region: "region" },
         callers: {
             ...listener,
--- a/src/node/daemon/daemon.ts
+++ b/src/node/daemon/daemon.ts
@@ -122,6 +122,11 @@
 
     return {
         start: async () => {
+            if (config.notSet.length > 0) {
+                log.info("Some settings have no value; their defaults apply.", {
+                    notSet: config.notSet.join(", "),
+                });
+            }
             await lifecycle.start();
             log.info("The node is running.", { node: config.node.id, callers: callers.address() });
         },
--- a/src/node/router/__tests__/router-settings.spec.ts
+++ b/src/node/router/__tests__/router-settings.spec.ts
@@ -41,6 +41,53 @@
     assert.equal(config.stop.graceMilliseconds, 8000);
 });
 
+test("a key with an empty value gets its default and is named", () => {
+    const config = resolveRouterConfig(
+        "node.ini",
+        `${VALID}\napplyMilliseconds =\nlapseGraceMilliseconds = ""\n[retries]\nratio = ; none\n[handover]\nlisten =`,
+    );
+    assert.equal(config.store.applyMilliseconds, 2000);
+    assert.equal(config.store.lapseGraceMilliseconds, 1800);
+    assert.equal(config.retries.ratio, 0.9);
+    assert.equal(config.handover, undefined);
+    assert.deepEqual(config.notSet, [
+        "[store] applyMilliseconds",
+        "[store] lapseGraceMilliseconds",
+        "[retries] ratio",
+        "[handover] listen",
+    ]);
+    assert.deepEqual(config.sectionsOff, ["handover"]);
+});
+
+test("an empty value of a key that a node needs is refused", () => {
+    for (const [line, key] of [
+        [2, "id = n1"],
+        [5, "listen = 10.0.0.1:80"],
+        [15, "port = 84"],
+        [17, "endpoint = 10.0.0.9:90"],
+    ] as const) {
+        const name = key.split(" ")[0]!;
+        const text = VALID.replace(key, `${name} =`);
+        assert.match(messageOf(text), new RegExp(`line ${line}: section .* key "${name}": must be set`));
+    }
+});
+
+test("a part that is off is checked for unknown keys and wrong values", () => {
+    const off = `${VALID}\n[duties]\nendpoint =\n`;
+    assert.equal(resolveRouterConfig("node.ini", `${off}windowSeconds = 5`).duties, undefined);
+    assert.match(messageOf(`${off}windowSeconds = soon`), /line 20: section \[duties\] key "windowSeconds"/);
+    assert.match(messageOf(`${off}endpiont =`), /line 20: section \[duties\] key "endpiont" is unknown/);
+});
+
+test("duties that are asked for without an endpoint are refused", () => {
+    for (const key of ["names = usage_reporting", "usage = true", "scaling = true"]) {
+        assert.match(
+            messageOf(`${VALID}\n[duties]\nendpoint =\n${key}`),
+            /line 19: section \[duties\] key "endpoint": must be set/,
+        );
+    }
+});
+
 test("the error for an unknown key names its line", () => {
     assert.match(
         messageOf(VALID.replace("port = 84", "port = 84\nprot = 85")),
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -664,8 +664,21 @@
         }
     };
 
+    let reportedNotSet = "";
+    const reportNotSet = ({ notSet, sectionsOff }: ResolvedRouterConfig): void => {
+        const names = notSet.join(", ");
+        if (names !== reportedNotSet && names !== "") {
+            log.info("Some settings have no value; their defaults apply.", {
+                notSet: names,
+                sectionsOff: sectionsOff.length === 0 ? undefined : sectionsOff.join(", "),
+            });
+        }
+        reportedNotSet = names;
+    };
+
     return {
         start: async () => {
+            reportNotSet(config);
             starting = lifecycle.start();
             await starting;
             log.info("The node has started.", { node: config.node.id, dataCentre: config.node.dataCentre });
@@ -688,7 +701,9 @@
         },
         reload: readConfig => {
             try {
-                const { seeds } = readConfig().peers;
+                const read = readConfig();
+                const { seeds } = read.peers;
+                reportNotSet(read);
                 config = { ...config, peers: { ...config.peers, seeds } };
                 log.info("Applied the changed settings.", { seeds: seeds.length });
             }
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -3,6 +3,7 @@
 import { parse } from "ini";
 import * as z from "zod/mini";
 import en from "zod/v4/locales/en.js";
+import { formatSettingName, unsetEmptyValues } from "../settings/empty-values.js";
 import { DEFAULT_PRICES } from "../upstream-table/leaving-cost.js";
 
 // Without a locale, zod/mini reports every problem as "Invalid input".
@@ -22,6 +23,17 @@
 /** `ip:port` */
 const endpoint = z.string().check(z.regex(/^[^:\s]+:\d+$/, { error: "must look like 10.0.0.1:8080" }));
 
+/** The other keys of the section only adjust duties that are done, and may be set for other reasons. */
+function isDutyEndpointSet(duties: {
+    readonly endpoint?: string | undefined;
+    readonly names: readonly string[];
+    readonly usage?: boolean | undefined;
+    readonly scaling?: boolean | undefined;
+}): boolean {
+    const isDutyNamed = duties.names.length > 0 || duties.usage === true || duties.scaling === true;
+    return duties.endpoint !== undefined || !isDutyNamed;
+}
+
 const routerSchema = z.strictObject({
     node: z.strictObject({
         id: z.string().check(z.minLength(1)),
@@ -48,12 +60,15 @@
         /** Endpoint for UDP load reports; the port is the same on all nodes. */
         listen: endpoint,
     }),
-    /** Without this section, the node neither takes requests of other nodes nor hands any over. */
+    /** Without `listen`, the node neither takes requests of other nodes nor hands any over. */
     handover: z.optional(
-        z.strictObject({
-            /** Endpoint for requests of nodes without a path to the upstreams. Callers must not reach it. */
-            listen: endpoint,
-        }),
+        z.pipe(
+            z.strictObject({
+                /** Endpoint for requests of nodes without a path to the upstreams. Callers must not reach it. */
+                listen: z.optional(endpoint),
+            }),
+            z.transform(({ listen }) => (listen === undefined ? undefined : { listen })),
+        ),
     ),
     metrics: z.strictObject({
         address,
@@ -149,32 +164,44 @@
         }),
         {},
     ),
-    /** Without this section, the node does no duties. */
+    /** Without `endpoint`, the node does no duties. */
     duties: z.optional(
-        z.strictObject({
-            /** Endpoint that takes the calls of the duties. */
-            endpoint,
-            /** The platform's names of the duties, which `platform/` translates into `usage` and `scaling`. */
-            names: list,
-            /** Reports the usage of each window. @default false */
-            usage: z.optional(z.boolean()),
-            /** Orders the number of upstreams. @default false */
-            scaling: z.optional(z.boolean()),
-            /** Calls per second that all nodes together may make. */
-            callsPerSecond: z._default(positive, 50),
-            /** Time within which calls of two holders must not alternate, milliseconds. */
-            separationMilliseconds: z._default(nonNegative, 3000),
-            /** Time after a freeze or a partition in which late calls may arrive, milliseconds. */
-            thawSlackMilliseconds: z._default(nonNegative, 300),
-            /** Length of a window of usage, seconds. */
-            windowSeconds: z._default(positive, 5),
-            /** Time after the end of a window at which its report is due, seconds. */
-            delaySeconds: z._default(positive, 10),
-            /** Share by which a reported count may be off. */
-            toleratedShare: z._default(share, 0.05),
-            /** Whether the receiver rejects calls with a lower fencing token. */
-            fencingEnforced: z._default(z.boolean(), false),
-        }),
+        z.pipe(
+            z
+                .strictObject({
+                    /** Endpoint that takes the calls of the duties. */
+                    endpoint: z.optional(endpoint),
+                    /** The platform's names of the duties, which `platform/` translates into `usage` and `scaling`. */
+                    names: list,
+                    /** Reports the usage of each window. @default false */
+                    usage: z.optional(z.boolean()),
+                    /** Orders the number of upstreams. @default false */
+                    scaling: z.optional(z.boolean()),
+                    /** Calls per second that all nodes together may make. */
+                    callsPerSecond: z._default(positive, 50),
+                    /** Time within which calls of two holders must not alternate, milliseconds. */
+                    separationMilliseconds: z._default(nonNegative, 3000),
+                    /** Time after a freeze or a partition in which late calls may arrive, milliseconds. */
+                    thawSlackMilliseconds: z._default(nonNegative, 300),
+                    /** Length of a window of usage, seconds. */
+                    windowSeconds: z._default(positive, 5),
+                    /** Time after the end of a window at which its report is due, seconds. */
+                    delaySeconds: z._default(positive, 10),
+                    /** Share by which a reported count may be off. */
+                    toleratedShare: z._default(share, 0.05),
+                    /** Whether the receiver rejects calls with a lower fencing token. */
+                    fencingEnforced: z._default(z.boolean(), false),
+                })
+                .check(
+                    z.refine(isDutyEndpointSet, {
+                        path: ["endpoint"],
+                        error: "must be set where `names`, `usage` or `scaling` asks for a duty",
+                    }),
+                ),
+            z.transform(({ endpoint, ...duties }) =>
+                endpoint === undefined ? undefined : { ...duties, endpoint },
+            ),
+        ),
     ),
     logging: z.prefault(
         z.strictObject({
@@ -192,7 +219,12 @@
     ? { readonly [Key in keyof Value]: DeepReadonly<Value[Key]> }
     : Value;
 
-export type ResolvedRouterConfig = DeepReadonly<z.infer<typeof routerSchema>>;
+export interface ResolvedRouterConfig extends DeepReadonly<z.infer<typeof routerSchema>> {
+    /** Settings that are present without a value, as `[section] key`. */
+    readonly notSet: readonly string[];
+    /** Sections that are present and whose part is off, as a setting that it needs has no value. */
+    readonly sectionsOff: readonly string[];
+}
 
 /** The settings are invalid. The message has one line per problem. */
 export class RouterSettingsError extends Error {
@@ -212,7 +244,13 @@
     return (at < 0 ? start : at) + 1;
 }
 
-function describeIssue(issue: z.core.$ZodIssue, text: string): readonly string[] {
+function valueAt(values: object, section: string, key: string): unknown {
+    return (values as Readonly<Record<string, Readonly<Record<string, unknown>> | undefined>>)[section]?.[
+        key
+    ];
+}
+
+function describeIssue(issue: z.core.$ZodIssue, text: string, values: object): readonly string[] {
     const [section, key] = issue.path.map(String);
     if (issue.code === "unrecognized_keys") {
         return issue.keys.map(name =>
@@ -224,19 +262,30 @@
     if (section === undefined || key === undefined) {
         return [`section [${section ?? "?"}] is missing`];
     }
-    return [`line ${lineOf(text, section, key) ?? "?"}: section [${section}] key "${key}": ${issue.message}`];
+    const isMissing = issue.code === "invalid_type" && valueAt(values, section, key) === undefined;
+    const problem = isMissing ? "must be set" : issue.message;
+    return [`line ${lineOf(text, section, key) ?? "?"}: section [${section}] key "${key}": ${problem}`];
 }
 
-/** @throws RouterSettingsError */
+/**
+ * A setting with an empty value is not set.
+ *
+ * @throws RouterSettingsError
+ */
 export function resolveRouterConfig(file: string, text: string): ResolvedRouterConfig {
-    const result = routerSchema.safeParse(parse(text));
+    const { values, notSet } = unsetEmptyValues(parse(text));
+    const result = routerSchema.safeParse(values);
     if (!result.success) {
         throw new RouterSettingsError(
             file,
-            result.error.issues.flatMap(issue => describeIssue(issue, text)),
+            result.error.issues.flatMap(issue => describeIssue(issue, text, values)),
         );
     }
-    return result.data;
+    const settings = result.data;
+    const sectionsOff = Object.keys(values).filter(
+        section => settings[section as keyof typeof settings] === undefined,
+    );
+    return { ...settings, notSet: notSet.map(formatSettingName), sectionsOff };
 }
 
 /** @throws RouterSettingsError */
--- a/src/node/settings/__tests__/settings.spec.ts
+++ b/src/node/settings/__tests__/settings.spec.ts
@@ -58,6 +58,35 @@
     assert.match(problem!, /section \[callers\] key "port": read "none"; allowed: a number/);
 });
 
+// Guards against an empty value that is read as 0.
+test("a key with an empty value gets its default and is named", () => {
+    const config = resolveConfig(
+        "router.ini",
+        `${complete}idleMilliseconds =\n[limits]\nretryShare =\nannounceMilliseconds =\n[logging]\nlevel =\nparts =`,
+    );
+    assert.equal(config.sessions.idleMilliseconds, 1_800_000);
+    assert.equal(config.limits.retryShare, 0.1);
+    assert.equal(config.limits.announceMilliseconds, 2000);
+    assert.equal(config.logging.level, "info");
+    assert.deepEqual(config.notSet, [
+        "[sessions] idleMilliseconds",
+        "[limits] retryShare",
+        "[limits] announceMilliseconds",
+        "[logging] level",
+    ]);
+});
+
+test("an empty value of a key without a default is refused", () => {
+    assert.match(
+        problemsOf(complete.replace("port = 8080", "port ="))[0]!,
+        /section \[callers\] key "port": read nothing; allowed: a number/,
+    );
+    assert.match(
+        problemsOf(complete.replace("port = 8080", "port = 8080\nprot ="))[0]!,
+        /key "prot" is unknown/,
+    );
+});
+
 // Guards against a misspelled key that silently leaves the default in effect.
 test("unknown keys and sections are rejected", () => {
     assert.match(
--- a/src/node/settings/settings.ts
+++ b/src/node/settings/settings.ts
@@ -2,6 +2,8 @@
 import { readFileSync } from "node:fs";
 import { parse } from "ini";
 import type { z } from "zod";
+import { formatSettingName, unsetEmptyValues } from "./empty-values.js";
+import type { SettingName } from "./empty-values.js";
 import { settingsSchema } from "./schema.js";
 import type { Settings } from "./schema.js";
 
@@ -11,6 +13,8 @@
 
 /** Settings with the contents of the key files that they name. Deeply frozen. */
 export interface ResolvedConfig extends DeepReadonly<Settings> {
+    /** Settings that are present without a value, as `[section] key`. Omits those that are empty by default. */
+    readonly notSet: readonly string[];
     readonly secrets: {
         /** SHA-256 digests of operator keys, hexadecimal. */
         readonly operatorKeyHashes: readonly string[];
@@ -71,6 +75,12 @@
     return Object.keys(schema.shape ?? schema.def?.innerType?.shape ?? {});
 }
 
+/** Whether the default of a setting is the empty value that was read. */
+function isEmptyByDefault(settings: Settings, { section, key }: SettingName): boolean {
+    const value = (settings as Readonly<Record<string, Readonly<Record<string, unknown>>>>)[section]?.[key];
+    return value === "" || (Array.isArray(value) && value.length === 0);
+}
+
 /** Reads the file that a settings key names. Adds to `problems` if it is empty or cannot be read. */
 function readKeyFile(section: string, key: string, path: string, problems: string[]): string {
     try {
@@ -97,18 +107,18 @@
 }
 
 /**
- * Parses and validates the text of a settings file.
+ * Parses and validates the text of a settings file. A setting with an empty value is not set.
  *
  * @param file File name for error messages.
  * @throws SettingsError
  */
 export function resolveConfig(file: string, text: string): ResolvedConfig {
-    const raw = parse(text) as unknown;
-    const result = settingsSchema.safeParse(raw);
+    const { values, notSet } = unsetEmptyValues(parse(text));
+    const result = settingsSchema.safeParse(values);
     if (!result.success) {
         throw new SettingsError(
             file,
-            result.error.issues.flatMap(issue => describeIssue(issue, raw)),
+            result.error.issues.flatMap(issue => describeIssue(issue, values)),
         );
     }
     const settings = result.data;
@@ -133,7 +143,11 @@
     if (problems.length > 0) {
         throw new SettingsError(file, problems);
     }
-    return deepFreeze({ ...settings, secrets: { operatorKeyHashes, peersKey, sealingKey } });
+    return deepFreeze({
+        ...settings,
+        notSet: notSet.filter(name => !isEmptyByDefault(settings, name)).map(formatSettingName),
+        secrets: { operatorKeyHashes, peersKey, sealingKey },
+    });
 }
 
 /** @throws SettingsError when the file cannot be read or its settings are invalid. */
