Leave the grace period at its default where the platform has none

Operators would see: where the platform has no grace period, a node that is stopped waits for none of its requests. Found while leaving out the fields of the template one after the other; no report of it.

Cause: the template appends `000` to turn seconds into milliseconds. Without a value it renders `graceMilliseconds = 000`, which is a valid 0. A fraction of a second would be read as milliseconds.

Ruled out: the empty-value handling, which cannot tell 000 from a 0 that is meant. A section of the template, which not every platform understands.

`graceMilliseconds` stays for settings that are written by hand; both together are refused.

Before, on with these tests: the template without the field gives 0 ms instead of 8000 (router-settings: 11 passed, 2 failed). After: 8000 ms; router-settings, empty-fields and signals 65 passed, 0 failed, in one run.

--- a/src/node/router/__tests__/router-settings.spec.ts
+++ b/src/node/router/__tests__/router-settings.spec.ts
@@ -4,6 +4,8 @@
 import { test } from "node:test";
 import { resolveRouterConfig, RouterSettingsError } from "../settings.js";
 
+const TEMPLATE = new URL("../../../../../deploy/settings.ini", import.meta.url);
+
 const VALID = [
     "[node]",
     "id = n1",
@@ -88,6 +90,28 @@
     }
 });
 
+// Guards against a grace period of 0, which cuts the requests of a node at a planned stop.
+test("the template without a grace period leaves its default", () => {
+    const graceOf = (rendered: string): number => {
+        const text = fillTemplate(false).replace(/^(grace\w+ = ).*$/m, rendered);
+        return resolveRouterConfig("settings.ini", text).stop.graceMilliseconds;
+    };
+    const template = readFileSync(TEMPLATE, "utf8");
+    const line = /^grace\w+ = .*$/m.exec(template)![0];
+    const render = (value: string): string => line.replace("{{bounds.grace-period-s}}", value);
+    assert.equal(graceOf(render("")), 8000);
+    assert.equal(graceOf(render("9")), 9000);
+    assert.equal(graceOf(render("8.5")), 8500);
+    assert.equal(graceOf(render("0")), 0);
+});
+
+test("a grace period that is set twice is refused", () => {
+    assert.match(
+        messageOf(`${VALID}\n[stop]\ngraceMilliseconds = 5000\ngraceSeconds = 8`),
+        /line 20: section \[stop\] key "graceSeconds": must not be set beside/,
+    );
+});
+
 test("the error for an unknown key names its line", () => {
     assert.match(
         messageOf(VALID.replace("port = 84", "port = 84\nprot = 85")),
@@ -119,8 +143,7 @@
 
 /** Fills the template in as the platform does, with or without the sections that it renders only for some. */
 function fillTemplate(hasDuties: boolean): string {
-    const template = new URL("../../../../../deploy/settings.ini", import.meta.url);
-    return readFileSync(template, "utf8")
+    return readFileSync(TEMPLATE, "utf8")
         .replaceAll(/\{\{#([^}]+)\}\}\n([^]*?)\{\{\/\1\}\}\n/g, hasDuties ? "$2" : "")
         .replaceAll(/\{\{(listen-addresses\.[^}]+|platform\.[^}]+|cloud-api\.address)\}\}/g, "10.0.0.1:80")
         .replaceAll(/\{\{ip\}\}:\{\{internal-port-range\.\d\}\}/g, "10.0.0.1:80")
--- a/src/node/router/settings.ts
+++ b/src/node/router/settings.ts
@@ -23,6 +23,8 @@
 /** `ip:port` */
 const endpoint = z.string().check(z.regex(/^[^:\s]+:\d+$/, { error: "must look like 10.0.0.1:8080" }));
 
+const DEFAULT_GRACE_MILLISECONDS = 8000;
+
 /** The other keys of the section only adjust duties that are done, and may be set for other reasons. */
 function isDutyEndpointSet(duties: {
     readonly endpoint?: string | undefined;
@@ -82,12 +84,29 @@
         applyMilliseconds: z._default(positive, 2000),
     }),
     stop: z.prefault(
-        z.strictObject({
-            /** Time from SIGTERM until the process must have exited, milliseconds. */
-            graceMilliseconds: z._default(nonNegative, 8000),
-            /** Time for which a stopping node keeps accepting connections, milliseconds. */
-            announceMilliseconds: z._default(nonNegative, 2600),
-        }),
+        z.pipe(
+            z
+                .strictObject({
+                    /** Time from SIGTERM until the process must have exited, milliseconds. @default 8000 */
+                    graceMilliseconds: z.optional(nonNegative),
+                    /** The same in seconds. */
+                    graceSeconds: z.optional(nonNegative),
+                    /** Time for which a stopping node keeps accepting connections, milliseconds. */
+                    announceMilliseconds: z._default(nonNegative, 2600),
+                })
+                .check(
+                    z.refine(
+                        stop => stop.graceMilliseconds === undefined || stop.graceSeconds === undefined,
+                        { path: ["graceSeconds"], error: "must not be set beside `graceMilliseconds`" },
+                    ),
+                ),
+            z.transform(({ graceMilliseconds, graceSeconds, announceMilliseconds }) => ({
+                graceMilliseconds:
+                    graceMilliseconds ??
+                    (graceSeconds === undefined ? DEFAULT_GRACE_MILLISECONDS : graceSeconds * 1000),
+                announceMilliseconds,
+            })),
+        ),
         {},
     ),
     retries: z.prefault(
