--- a/src/node/forwarding/response-sink.ts
+++ b/src/node/forwarding/response-sink.ts
@@ -41,8 +41,7 @@
     /**
      * Ends a stream whose upstream ended its connection, which may also have been a crash. Returns false and
      * keeps it open when an event is incomplete, or the end is refuted, or must be confirmed and is not agreed. An
-     * agreed stream
-     * without new events ends empty if its caller resumed it.
+     * agreed stream without new events ends empty if its caller resumed it.
      *
      * @param isAgreed Whether two upstreams have ended the stream after the same event.
      */
