--- a/review/common-2/deployment.js
+++ b/review/common-2/deployment.js
@@ -219,6 +219,7 @@
             return all;
         },
         isReady,
+        killNodes: () => started.forEach(({ child }) => child.kill("SIGKILL")),
         stop: async () => {
             for (const { child, exited } of started) {
                 if (child.exitCode === null && child.signalCode === null) {
@@ -242,6 +243,14 @@
     const hasTrouble = process.env.TROUBLE !== "0";
     let deployment;
     let exitCode = 2;
+    // An error in a stand-in must not look like a broken rule.
+    process.on("uncaughtException", error => {
+        record.add(`the case could not run: ${error.stack}`);
+        console.error(error);
+        deployment?.killNodes();
+        record.save();
+        process.exit(2);
+    });
     try {
         deployment = await createDeployment(options);
         const isBroken = await play(deployment, record, hasTrouble);
