--- a/review/7/case.js
+++ b/review/7/case.js
@@ -1,7 +1,7 @@
 /**
- * A runner that is full turns streams away that may not be resumed, and they are sent to it again a moment later. With
- * trouble, the runner sends a few of its answers twice: the second copy comes late, where the next answer on the
- * connection is expected. Checks that no stream runs more than once.
+ * Two runners that are full turn streams away that may not be resumed, and these are sent to them again a moment later.
+ * With trouble, one of the runners sends a few of its answers twice: the second copy comes late, where the next answer
+ * on the connection is expected. Checks that no stream runs more than once.
  */
 import { createServer } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
@@ -13,12 +13,12 @@
     runnerEntry,
 } from "../common-2/deployment.js";
 
-const ROUNDS = 60;
+const ROUNDS = 200;
 const WORK_MS = 120;
 /** One answer in 40 comes twice: 0.025, below the largest dose of 0.03. */
 const ANSWERS_PER_COPY = 40;
 
-async function startRunner(id, record, runs, hasTrouble) {
+async function startRunner(id, record, runs, spoils) {
     let active = 0;
     let answers = 0;
     const copies = new Map();
@@ -35,7 +35,7 @@
         if (active > 0) {
             record.add(`runner ${id} is full and turns ${attempt} away`);
             const headers = { "geraniumbarrow-attempt-id": attempt, "geraniumbarrow-not-executed": "1" };
-            if (hasTrouble && answers >= ANSWERS_PER_COPY) {
+            if (spoils && answers >= ANSWERS_PER_COPY) {
                 answers = 0;
                 const lines = Object.entries({ ...headers, "content-length": 0 }).map(line =>
                     line.join(": "),
@@ -90,11 +90,17 @@
             services: [{ name: "writers" }],
         }),
     );
-    const address = await startRunner("writer-1", record, runs, hasTrouble);
-    store.put("servers", "writer-1", runnerEntry("writers", address, { slots: 1 }));
+    // One of the two runners spoils answers: a share of 0.5, below the largest dose of 0.6.
+    for (const [id, spoils] of [
+        ["writer-1", hasTrouble],
+        ["writer-2", false],
+    ]) {
+        const address = await startRunner(id, record, runs, spoils);
+        store.put("servers", id, runnerEntry("writers", address, { slots: 1 }));
+    }
     const [first, second] = await deployment.startNodes();
     await delay(1000);
-    const callers = [createCaller(second.address), createCaller(first.address)];
+    const callers = [createCaller(second.address), createCaller(second.address), createCaller(first.address)];
     const ask = async caller => {
         const headers = callerHeaders(5000);
         const attempt = headers["geraniumbarrow-attempt-id"];
@@ -104,9 +110,10 @@
     };
     const results = [];
     for (let round = 0; round < ROUNDS; round += 1) {
-        const other = ask(callers[0]);
+        // Two streams of the other node occupy the runners.
+        const others = [ask(callers[0]), ask(callers[1])];
         await delay(20);
-        results.push(...(await Promise.all([other, ask(callers[1])])));
+        results.push(...(await Promise.all([...others, ask(callers[2])])));
         await delay(30);
     }
     const twice = [...runs].filter(([, count]) => count > 1);
