Review: case 7 checks TWICE alone

Tried: the slow runner is the sound one, so that streams that were turned away go back to the one that spoils answers. Command: review/7/run.sh, once.

--- a/review/7/case.js
+++ b/review/7/case.js
@@ -13,8 +13,9 @@
     runnerEntry,
 } from "../common-2/deployment.js";
 
-const ROUNDS = 200;
-const WORK_MS = 120;
+const ROUNDS = 120;
+/** Runners of one service differ in speed. */
+const WORK_MS = { "writer-1": 120, "writer-2": 300 };
 /** One answer in 40 comes twice: 0.025, below the largest dose of 0.03. */
 const ANSWERS_PER_COPY = 40;
 
@@ -48,7 +49,7 @@
         active += 1;
         runs.set(attempt, (runs.get(attempt) ?? 0) + 1);
         record.add(`runner ${id} runs ${attempt}`);
-        await delay(WORK_MS);
+        await delay(WORK_MS[id]);
         active -= 1;
         response.writeHead(200, {
             "content-type": "text/event-stream",
@@ -123,5 +124,5 @@
     );
     record.add(`${twice.length} streams ran more than once`);
     record.add(`${refused.length} streams ran and were answered 503`);
-    return twice.length > 0 || refused.length > 0;
+    return twice.length > 0;
 });
