--- a/review/draft-a/run.js
+++ b/review/draft-a/run.js
@@ -1,4 +1,5 @@
 // A burst of bookings with bodies as large as the configuration allows, at one router.
+import { Buffer } from "node:buffer";
 import { Agent } from "node:http";
 import { dirname } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
--- a/review/draft-b/run.js
+++ b/review/draft-b/run.js
@@ -1,5 +1,7 @@
 // Upstreams that leave end in the middle of answers that have neither a length nor chunks.
+import { Buffer } from "node:buffer";
 import { dirname } from "node:path";
+import { clearInterval, setInterval } from "node:timers";
 import { setTimeout as delay } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import {
--- a/review/stand-ins-3/runner.js
+++ b/review/stand-ins-3/runner.js
@@ -1,5 +1,6 @@
 // Stand-in for an upstream, run as a process of its own: a plain service, or an engine that streams events.
 // Each message to the parent process is one thing that the upstream saw or did.
+import { Buffer } from "node:buffer";
 import { createServer } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 
--- a/review/stand-ins-3/store.js
+++ b/review/stand-ins-3/store.js
@@ -1,5 +1,8 @@
 // Stand-in for the platform's metadata store: rows in tables, transactions and change feeds.
+import { Buffer } from "node:buffer";
 import { createServer } from "node:http";
+import { performance } from "node:perf_hooks";
+import { clearTimeout, setTimeout } from "node:timers";
 
 /** Tables that only operators and upstreams write. */
 const FOREIGN_TABLES = new Set(["op", "servers"]);
