Review: a draft of a case, memory that routes leave behind

Tried: configurations that replace 350 routes each, every route requested once at each of two routers; a stand-in of the platform ends a process whose private memory exceeds the 200 MB of its machine (node review/draft-c/run.js, x86-64).

--- a/review/stand-ins-3/deployment.js
+++ b/review/stand-ins-3/deployment.js
@@ -223,11 +223,12 @@
     const template = readFileSync(join(ROOT, "deploy/settings.ini"), "utf8");
     const routers = [];
     const runners = [];
+    const others = [];
     const events = [];
     let startedRunners = 0;
     // The processes end with this one, however it ends.
     process.once("exit", () =>
-        [...routers, ...runners]
+        [...routers, ...runners, ...others]
             .filter(({ exit }) => exit === undefined)
             .forEach(started => started.process.kill("SIGKILL")),
     );
@@ -325,7 +326,7 @@
     };
 
     const stop = async () => {
-        for (const child of [...routers, ...runners].map(({ process: started }) => started)) {
+        for (const child of [...routers, ...runners, ...others].map(({ process: started }) => started)) {
             if (child.exitCode === null && child.signalCode === null) {
                 child.kill("SIGKILL");
                 await new Promise(resolve => child.once("exit", resolve));
@@ -335,7 +336,14 @@
         rmSync(folder, { recursive: true });
     };
 
-    return { store, routers, runners, events, startRouter, startRunner, stop };
+    /** Ends a process of the case with the deployment. */
+    const addProcess = child => {
+        const started = { process: child, exit: undefined };
+        child.once("exit", (code, signal) => (started.exit = { code, signal }));
+        others.push(started);
+    };
+
+    return { store, routers, runners, events, startRouter, startRunner, addProcess, stop };
 }
 
 /** Runs a case, writes its record beside it and exits with its result. */
--- a/review/stand-ins-3/runner.js
+++ b/review/stand-ins-3/runner.js
@@ -2,6 +2,7 @@
 // Each message to the parent process is one thing that the upstream saw or did.
 import { Buffer } from "node:buffer";
 import { createServer } from "node:http";
+import { setTimeout } from "node:timers";
 import { setTimeout as delay } from "node:timers/promises";
 
 const { id, address, behaviour: initial } = JSON.parse(process.argv[2]);
@@ -11,7 +12,11 @@
 });
 process.on("disconnect", () => process.exit());
 
-const report = event => process.send?.({ id, at: Date.now(), ...event });
+const report = event => {
+    if (event.kind === "listening" || behaviour.isQuiet !== true) {
+        process.send?.({ id, at: Date.now(), ...event });
+    }
+};
 
 /** Text of a plain answer; each line differs, so that a missing part shows. */
 function createText(attempt, lines) {
@@ -82,11 +87,38 @@
     response.end(text);
 }
 
-const server = createServer({ keepAliveTimeout: 10_000 }, (request, response) => {
-    const chunks = [];
-    request.on("data", chunk => chunks.push(chunk));
+/** Answers before the body has arrived, keeps the channel and reads on later. */
+function answerEarly(request, response) {
+    const attempt = request.headers["geraniumbarrow-attempt-id"] ?? "";
+    const text = createText(attempt, 1);
+    report({ kind: "received", attempt, method: request.method, url: request.url, headers: request.headers });
+    report({ kind: "began", attempt });
+    let bytes = 0;
+    request.on("data", chunk => (bytes += chunk.length));
+    request.on("end", () => report({ kind: "read", attempt, bytes }));
+    // Without a read, Node.js would discard the body when the answer has ended.
+    request.read(0);
+    request.pause();
+    setTimeout(() => request.resume(), behaviour.readsOnAfterMilliseconds);
+    response.writeHead(200, {
+        "geraniumbarrow-attempt-id": attempt,
+        "geraniumbarrow-response-signature": `proof.${id}.${attempt}`,
+        "content-type": "text/plain",
+        "content-length": Buffer.byteLength(text),
+    });
+    response.end(text);
+    response.once("close", () => report({ kind: "ended", attempt, whole: response.writableFinished }));
+}
+
+const server = createServer({ keepAliveTimeout: 15_000 }, (request, response) => {
     request.on("error", () => undefined);
     response.on("error", () => undefined);
+    if (behaviour.readsOnAfterMilliseconds !== undefined) {
+        answerEarly(request, response);
+        return;
+    }
+    const chunks = [];
+    request.on("data", chunk => chunks.push(chunk));
     request.on("end", () => void serve(request, response, Buffer.concat(chunks)));
 });
 server.listen(0, address, () => report({ kind: "listening", port: server.address().port }));
