--- /dev/null
+++ b/review/draft-d/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/run.js"
--- a/review/stand-ins-3/deployment.js
+++ b/review/stand-ins-3/deployment.js
@@ -22,8 +22,8 @@
 
 export const ZONES = ["riga-a", "riga-b", "riga-c", "riga-d"];
 
-/** The bounds of the site of the case. */
-export const BOUNDS = {
+/** The bounds of the site `spogulis-hq`. */
+const BOUNDS = {
     "stability-window-ms": 3000,
     "drain-timeout-ms": 2000,
     "grace-period-s": 8,
@@ -214,7 +214,7 @@
 }
 
 /** Starts the store; routers and upstreams are started by the case. */
-export async function createDeployment({ memoryMegabytes = 200 } = {}) {
+export async function createDeployment({ memoryMegabytes = 200, bounds = {}, contracts = CONTRACTS } = {}) {
     const network = `127.${1 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}`;
     const folder = mkdtempSync(join(tmpdir(), "geraniumbarrow-review-"));
     const store = await startStore(`${network}.1`);
@@ -253,15 +253,15 @@
                 "internal-port-range": [loads, handover],
                 "seed-nodes": [0, 1, 2].map(seed => `${network}.${10 + seed}:${control}`),
                 limits: { "memory-mb": memoryMegabytes, "file-descriptors": 4100, "link-mbps": 1000 },
-                contracts: CONTRACTS,
-                bounds: BOUNDS,
+                contracts,
+                bounds: { ...BOUNDS, ...bounds },
                 platform: { address: store.endpoint },
             }),
         );
         const child = spawn(run[0], run.slice(1), {
             cwd: ROOT,
             env: { PATH: process.env.PATH, HOME: process.env.HOME, GERANIUMBARROW_CONFIG: settings },
-            stdio: ["ignore", "pipe", "inherit"],
+            stdio: ["ignore", "pipe", "pipe"],
         });
         const router = {
             name,
@@ -277,6 +277,7 @@
             rest = lines.pop();
             router.log.push(...lines);
         });
+        child.stderr.on("data", chunk => (router.errors += chunk.toString()));
         child.once("exit", (code, signal) => (router.exit = { code, signal }));
         routers.push(router);
         await waitFor(`${name} ready`, async () => {
