--- a/review/draft-d/run.js
+++ b/review/draft-d/run.js
@@ -1,5 +1,5 @@
-// A client that the operators do not control sends a session of its own with each request, as long as the limit for
-// headers allows.
+// A client that the operators do not control sends prompts whose last part has an id as long as the limit for headers
+// allows.
 import { fork } from "node:child_process";
 import { Buffer } from "node:buffer";
 import { dirname } from "node:path";
@@ -17,24 +17,10 @@
 
 const FLOOD = fileURLToPath(new URL("../stand-ins-3/flood.js", import.meta.url));
 
-/** Length of a session's name. With it, the headers have about 15,300 of the 16,384 bytes that they may have. */
-const SESSION_BYTES = hasTrouble ? 15_000 : 20;
+/** Length of the id of a prompt's last part. With it, the headers have about 15,400 of the 16,384 bytes allowed. */
+const PART_BYTES = hasTrouble ? 15_000 : 16;
 const CHANNELS = 48;
 
-/** The bounds and the contracts of the site. */
-const BOUNDS = {
-    "stability-window-ms": 4000,
-    "drain-timeout-ms": 3000,
-    "config-apply-ms": 3000,
-    "retry-budget-extra": 182,
-    "exposure-fraction": 0.0975,
-    "session-ttl-s": 8.5,
-};
-const CONTRACTS =
-    "base,drain,config,cost,retry,recover,health,pool,engine,stream,tenants,places,platform,rollout".split(
-        ",",
-    );
-
 /** The rule counts machines on which processes have ended by themselves so often. */
 const ALLOWED_ENDS = 2;
 const MACHINES = 2;
@@ -44,11 +30,19 @@
 const LIMIT_MILLISECONDS = 95_000;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, create }) => {
-    const deployment = await create({ memoryMegabytes: 250, bounds: BOUNDS, contracts: CONTRACTS });
+    const deployment = await create({ memoryMegabytes: 200 });
     deployment.store.put("op", "config", createConfiguration(7));
     for (const id of ["i-desk-1", "i-desk-2", "i-desk-3", "i-desk-4"]) {
         await deployment.startRunner(id, "desk", { workMilliseconds: 1, lines: 1, isQuiet: true });
     }
+    for (const id of ["i-engine-1", "i-engine-2", "i-engine-3"]) {
+        await deployment.startRunner(id, "engines", {
+            slots: 64,
+            events: 2,
+            gapMilliseconds: 5,
+            isQuiet: true,
+        });
+    }
     const machines = [];
     const watch = machine => {
         machine.router.process.once("exit", async (code, signal) => {
@@ -76,9 +70,9 @@
         machines.push(machine);
         watch(machine);
     }
-    await delay(5000);
+    await delay(4000);
     for (const machine of machines) {
-        const flood = fork(FLOOD, [machine.router.endpoint, KEY, String(CHANNELS), String(SESSION_BYTES)]);
+        const flood = fork(FLOOD, [machine.router.endpoint, KEY, String(CHANNELS), String(PART_BYTES)]);
         deployment.addProcess(flood);
         flood.on("message", counts => (machine.flood = counts));
     }
@@ -102,7 +96,7 @@
     for (const { router, ends, ordinary, flood } of machines) {
         record(
             `${router.name}: ${ends} ends by themselves; ordinary bookings by status ${JSON.stringify(ordinary)}; ` +
-                `lookups of the client ${JSON.stringify(flood)}`,
+                `prompts of the client ${JSON.stringify(flood)}`,
         );
     }
     return machines.filter(({ ends }) => ends > ALLOWED_ENDS).length >= MACHINES ? BROKEN : HELD;
--- a/review/stand-ins-3/deployment.js
+++ b/review/stand-ins-3/deployment.js
@@ -233,7 +233,8 @@
             .forEach(started => started.process.kill("SIGKILL")),
     );
 
-    const startRouter = async number => {
+    /** @param storeEndpoint Where the router finds the store, if not at the store itself. */
+    const startRouter = async (number, storeEndpoint = store.endpoint) => {
         const ip = `${network}.${10 + number}`;
         const zone = ZONES[number % ZONES.length];
         const settings = join(folder, `router-${number}.ini`);
@@ -255,7 +256,7 @@
                 limits: { "memory-mb": memoryMegabytes, "file-descriptors": 4100, "link-mbps": 1000 },
                 contracts,
                 bounds: { ...BOUNDS, ...bounds },
-                platform: { address: store.endpoint },
+                platform: { address: storeEndpoint },
             }),
         );
         const child = spawn(run[0], run.slice(1), {
--- a/review/stand-ins-3/flood.js
+++ b/review/stand-ins-3/flood.js
@@ -1,30 +1,34 @@
-// One client that the operators do not control, run as a process of its own: lookups on kept channels, each in a session
-// of its own. The length of the session's name is an argument.
+// One client that the operators do not control, run as a process of its own: prompts on kept channels, each with parts
+// of its own. The length of the id of the last part is an argument.
 import { Agent, request } from "node:http";
 import { setInterval } from "node:timers";
 import { setTimeout as delay } from "node:timers/promises";
 
-const [endpoint, key, channels, sessionBytes] = process.argv.slice(2);
+const [endpoint, key, channels, partBytes] = process.argv.slice(2);
 const [host, port] = endpoint.split(":");
 const counts = {};
 let sent = 0;
 
 function get(agent) {
     sent += 1;
-    const name = `${process.pid.toString(36)}-${sent.toString(36)}`;
+    const number = `${process.pid.toString(16)}${sent.toString(16).padStart(8, "0")}`;
     return new Promise(resolve => {
         const outgoing = request(
             {
                 host,
                 port,
-                path: "/stock/item",
+                method: "POST",
+                path: "/reports/one",
                 agent,
                 headers: {
                     host: "ficu95.example",
                     authorization: `Bearer ${key}`,
-                    "geraniumbarrow-attempt-id": name,
-                    "geraniumbarrow-deadline-remaining": "4000",
-                    session: name.padEnd(Number(sessionBytes), "-"),
+                    "geraniumbarrow-attempt-id": number,
+                    "geraniumbarrow-deadline-remaining": "12000",
+                    "geraniumbarrow-model": "daka510000",
+                    "geraniumbarrow-token-usage": "20,5",
+                    "geraniumbarrow-prompt-prefix": `${number.padEnd(16, "0")}:10,${number.padEnd(Number(partBytes), "0")}:10`,
+                    "content-length": "0",
                 },
             },
             response => {
