Review: the draft about large bookings plays a burst of 1.7 times the usual rate

Tried: node review/draft-a/run.js on x86-64, bookings of 4,000,000 bytes that take 600 ms, every 150 ms, and 1.7 times as often for 3 s.

--- a/review/draft-a/run.js
+++ b/review/draft-a/run.js
@@ -7,12 +7,14 @@
 import { BROKEN, HELD, createConfiguration, hasTrouble, runCase, send } from "../stand-ins-3/deployment.js";
 
 const BODY_BYTES = 4_000_000;
-const WORK_MILLISECONDS = 1200;
+const WORK_MILLISECONDS = 600;
+
+const CHANNELS = 40;
 
 /** Time between two bookings, and the factor by which the burst multiplies their rate. */
-const USUAL_GAP_MILLISECONDS = 300;
+const USUAL_GAP_MILLISECONDS = 150;
 const BURST_FACTOR = 1.7;
-const BURST_MILLISECONDS = 4000;
+const BURST_MILLISECONDS = 3000;
 
 /** More requests than these, passed on and left without an answer, break the rule. */
 const ALLOWED_LOSSES = 3;
@@ -30,24 +32,21 @@
     await delay(4000);
 
     const body = Buffer.alloc(BODY_BYTES, "b");
-    const agents = [];
-    const idle = [];
+    const agents = Array.from({ length: CHANNELS }, () => new Agent({ keepAlive: true, maxSockets: 1 }));
     const results = [];
+    // The channels are kept ones: each has brought an answer before.
+    const opened = await Promise.all(
+        agents.map(agent =>
+            send(router.endpoint, { path: "/bookings/first", body: Buffer.from("{}"), agent }),
+        ),
+    );
+    const idle = agents.filter((_, index) => opened[index].status === 200);
     const book = async () => {
-        let agent = idle.pop();
+        const agent = idle.pop();
         if (agent === undefined) {
-            agent = new Agent({ keepAlive: true, maxSockets: 1 });
-            agents.push(agent);
-            // The channel is a kept one: it has brought an answer before.
-            const first = await send(router.endpoint, {
-                path: "/bookings/first",
-                body: Buffer.from("{}"),
-                agent,
-            });
-            record(`channel ${agents.length}: first booking answered ${first.status}`);
+            throw new Error("no channel is free");
         }
-        const result = await send(router.endpoint, { path: "/bookings/large", body, agent });
-        results.push(result);
+        results.push(await send(router.endpoint, { path: "/bookings/large", body, agent }));
         idle.push(agent);
     };
     const running = [];
@@ -57,21 +56,6 @@
             await delay(gap);
         }
     };
-    // All channels are opened before, so that the burst consists of large bookings only.
-    idle.push(
-        ...(await Promise.all(
-            Array.from({ length: 24 }, async () => {
-                const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-                agents.push(agent);
-                const first = await send(router.endpoint, {
-                    path: "/bookings/first",
-                    body: Buffer.from("{}"),
-                    agent,
-                });
-                return first.status === 200 ? [agent] : [];
-            }),
-        ).then(opened => opened.flat())),
-    );
     record(`${idle.length} channels are kept, each after an answered booking`);
     await bookFor(3000, USUAL_GAP_MILLISECONDS);
     await bookFor(
--- a/review/draft-d/run.js
+++ b/review/draft-d/run.js
@@ -72,7 +72,7 @@
     }
     await delay(4000);
     for (const machine of machines) {
-        const flood = fork(FLOOD, [machine.router.endpoint, KEY, String(CHANNELS), String(PART_BYTES)]);
+        const flood = fork(FLOOD, [machine.router.endpoint, KEY, String(CHANNELS), "1", String(PART_BYTES)]);
         deployment.addProcess(flood);
         flood.on("message", counts => (machine.flood = counts));
     }
--- a/review/stand-ins-3/flood.js
+++ b/review/stand-ins-3/flood.js
@@ -1,14 +1,24 @@
 // One client that the operators do not control, run as a process of its own: prompts on kept channels, each with parts
-// of its own. The length of the id of the last part is an argument.
+// of its own. The number of parts before the last one, and the length of the id of the last one, are arguments.
 import { Agent, request } from "node:http";
 import { setInterval } from "node:timers";
 import { setTimeout as delay } from "node:timers/promises";
 
-const [endpoint, key, channels, partBytes] = process.argv.slice(2);
+const [endpoint, key, channels, parts, lastBytes] = process.argv.slice(2);
 const [host, port] = endpoint.split(":");
 const counts = {};
 let sent = 0;
 
+/** Parts of a prompt: ids of 16 characters, and that of the last part. */
+function promptOf(number) {
+    const shared = Array.from({ length: Number(parts) }, (_, index) =>
+        `${number}${index.toString(16)}`.padEnd(16, "0"),
+    );
+    return [...shared.map(id => id.slice(-16)), number.padEnd(Number(lastBytes), "0")]
+        .map(id => `${id}:10`)
+        .join(",");
+}
+
 function get(agent) {
     sent += 1;
     const number = `${process.pid.toString(16)}${sent.toString(16).padStart(8, "0")}`;
@@ -27,7 +37,7 @@
                     "geraniumbarrow-deadline-remaining": "12000",
                     "geraniumbarrow-model": "daka510000",
                     "geraniumbarrow-token-usage": "20,5",
-                    "geraniumbarrow-prompt-prefix": `${number.padEnd(16, "0")}:10,${number.padEnd(Number(partBytes), "0")}:10`,
+                    "geraniumbarrow-prompt-prefix": promptOf(number),
                     "content-length": "0",
                 },
             },
