--- a/review/draft-b/run.js
+++ b/review/draft-b/run.js
@@ -18,8 +18,12 @@
 const EVENTS = 40;
 const LINES = 40;
 
-/** Time from the notice of an upstream that is reclaimed to its end. */
+/** Upstreams of each service; one at a time leaves. */
+const UPSTREAMS = 7;
+
+/** Time from the notice of an upstream that is reclaimed to its end, and from there to the start of another one. */
 const NOTICE_MILLISECONDS = 2000;
+const REPLACEMENT_MILLISECONDS = 4000;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, create }) => {
     const deployment = await create();
@@ -50,7 +54,7 @@
             lines: LINES,
             gapMilliseconds: 80,
         });
-    for (let index = 0; index < 2; index += 1) {
+    for (let index = 0; index < UPSTREAMS; index += 1) {
         await startEngine();
         await startDesk();
     }
@@ -99,9 +103,9 @@
         broken += await play("/reports/a", ({ body }) => body.includes(`id: ${EVENTS}\n`));
         broken += await play("/bookings/a", ({ body }) => body.includes(`line ${LINES} of`));
         if (hasTrouble) {
+            await delay(REPLACEMENT_MILLISECONDS);
             await startEngine();
             await startDesk();
-            await delay(500);
         }
     }
     clearInterval(beats);
--- a/review/draft-c/run.js
+++ b/review/draft-c/run.js
@@ -24,10 +24,10 @@
 /** Routes that one configuration adds, in place of those that the one before it had added. */
 const ADDED_ROUTES = 350;
 
-/** Shortest time between two configurations of a storm, their number, and the pause after it. */
-const GAP_MILLISECONDS = 330;
-const STORM_CONFIGURATIONS = 12;
-const PAUSE_MILLISECONDS = 1000;
+/** Shortest time between two configurations of a storm, its length, and the pause after it. */
+const GAP_MILLISECONDS = 80;
+const STORM_MILLISECONDS = 2000;
+const PAUSE_MILLISECONDS = 500;
 
 const CONFIGURATIONS = 156;
 
@@ -35,12 +35,12 @@
 const ALLOWED_ENDS = 2;
 const MACHINES = 2;
 
-const LIMIT_MILLISECONDS = 100_000;
+const LIMIT_MILLISECONDS = 105_000;
 
-/** Memory that only this process uses, without files that it maps. */
-function privateMegabytes(pid) {
+/** Resident memory of a process. */
+function residentMegabytes(pid) {
     const status = readFileSync(`/proc/${pid}/status`, "utf8");
-    return Number(/RssAnon:\s+(\d+)/.exec(status)[1]) / 1024;
+    return Number(/VmRSS:\s+(\d+)/.exec(status)[1]) / 1024;
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async ({ record, create }) => {
@@ -71,7 +71,7 @@
     const machines = [];
     for (let number = 0; number < MACHINES; number += 1) {
         const router = await deployment.startRouter(number);
-        const clients = fork(LOAD, [router.endpoint, KEY, "16"]);
+        const clients = fork(LOAD, [router.endpoint, KEY, "32"]);
         deployment.addProcess(clients);
         machines.push({ number, router, clients, ends: 0, mostMegabytes: 0 });
     }
@@ -84,7 +84,7 @@
             if (router.exit !== undefined || machine.isStarting) {
                 continue;
             }
-            const megabytes = privateMegabytes(router.process.pid);
+            const megabytes = residentMegabytes(router.process.pid);
             machine.mostMegabytes = Math.max(machine.mostMegabytes, megabytes);
             if (megabytes > MEMORY_MEGABYTES) {
                 machine.ends += 1;
@@ -102,6 +102,7 @@
     const until = Date.now() + LIMIT_MILLISECONDS;
     const totals = {};
     let version = 7;
+    let stormAt = Date.now();
     while (
         version < 7 + CONFIGURATIONS &&
         Date.now() < until &&
@@ -130,16 +131,16 @@
                 );
             }),
         );
-        const isLastOfStorm = (version - 7) % STORM_CONFIGURATIONS === 0;
-        if (isLastOfStorm) {
+        await delay(Math.max(0, changedAt + GAP_MILLISECONDS - Date.now()));
+        if (Date.now() - stormAt > STORM_MILLISECONDS - GAP_MILLISECONDS) {
             record(
                 `version ${version}: ${machines
                     .map(({ mostMegabytes, ends }) => `at most ${mostMegabytes.toFixed(0)} MB, ${ends} ends`)
                     .join("; ")}`,
             );
+            await delay(PAUSE_MILLISECONDS);
+            stormAt = Date.now();
         }
-        const pause = isLastOfStorm ? PAUSE_MILLISECONDS : 0;
-        await delay(Math.max(0, changedAt + GAP_MILLISECONDS - Date.now()) + pause);
     }
     clearInterval(watch);
     record(`configurations: ${version - 7}; requests by status: ${JSON.stringify(totals)}`);
--- a/review/stand-ins-3/deployment.js
+++ b/review/stand-ins-3/deployment.js
@@ -350,6 +350,8 @@
 
 /** Runs a case, writes its record beside it and exits with its result. */
 export async function runCase(folder, play) {
+    // The exit ends the processes of the case.
+    ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.once(signal, () => process.exit(NOT_RUN)));
     const lines = [];
     const record = line => lines.push(line);
     let deployment;
