--- a/review/10/case.js
+++ b/review/beyond-2/silent-runners/case.js
@@ -11,7 +11,7 @@
     createConfiguration,
     runCase,
     runnerEntry,
-} from "../common-2/deployment.js";
+} from "../../common-2/deployment.js";
 
 const NODES = 3;
 const RUNNERS = 4;
--- a/review/9/case.js
+++ b/review/beyond-2/waiting-at-stop/case.js
@@ -11,7 +11,7 @@
     createConfiguration,
     runCase,
     runnerEntry,
-} from "../common-2/deployment.js";
+} from "../../common-2/deployment.js";
 
 const RUNNERS = 2;
 const SLOTS = 2;
--- a/review/draft-b/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec node "$(dirname "$0")/run.js"
