Log how many responses a connection had carried before an attempt

A late copy of an answer can only be taken for another answer on a connection that has carried one before. The log of an attempt did not say which connection it used, so the line of a rejection by the upstream and that of its late copy looked alike.

The end of an attempt now has earlierResponses where the connection was not new.

--- a/src/node/forwarding/attempt.ts
+++ b/src/node/forwarding/attempt.ts
@@ -102,8 +102,16 @@
     readonly callerLeft: AbortSignal;
     /** Cancels the attempt when it is aborted, with the reason of the abort, unless its answer has begun. */
     readonly withdrawn?: AbortSignal;
-    /** `isFramed` is false when only the end of the connection ends the response. */
-    readonly onHead?: (head: ResponseHead, status: number, isFramed: boolean) => void;
+    /**
+     * `isFramed` is false when only the end of the connection ends the response; `earlierResponses` counts the
+     * responses that were read from the connection before.
+     */
+    readonly onHead?: (
+        head: ResponseHead,
+        status: number,
+        isFramed: boolean,
+        earlierResponses: number,
+    ) => void;
     /** New events of a stream arrived; `isFirst` is true for the first of the attempt. */
     readonly onEvents?: (isFirst: boolean) => void;
     /**
@@ -288,7 +296,11 @@
             }
         };
 
-        const onHead = (receivedStatus: number, receivedHeaders: IncomingHttpHeaders): void => {
+        const onHead = (
+            receivedStatus: number,
+            receivedHeaders: IncomingHttpHeaders,
+            earlierResponses = 0,
+        ): void => {
             if (settled || receivedStatus < 200) {
                 return;
             }
@@ -297,7 +309,7 @@
             clearTimeout(headTimer);
             const head = options.decodeHead(status, headers);
             isFramed = hasCertainEnd(options.request.method, status, headers);
-            options.onHead?.(head, status, isFramed);
+            options.onHead?.(head, status, isFramed, earlierResponses);
             const mismatch = mismatchReason(status, head, options.attemptId);
             if (mismatch !== undefined) {
                 cancel({ kind: "lost", reason: mismatch });
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -438,6 +438,7 @@
             let headConfidence: number | undefined;
             let limitPerSecond: number | undefined;
             let isUnframed = false;
+            let earlierResponses = 0;
             const answerProgress = createAnswerProgress();
             const recordRun = (): void => {
                 if (request.workspace !== undefined) {
@@ -552,7 +553,8 @@
                         options.quarantine.recordSurvival(service.name, sharedParts, clock.now());
                     }
                 },
-                onHead: (responseHead, status, isFramed) => {
+                onHead: (responseHead, status, isFramed, earlier) => {
+                    earlierResponses = earlier;
                     scarceAttempt?.recordHead();
                     isUnframed = !isFramed;
                     const isStream = isSuccess(status) && responseHead.isEventStream;
@@ -643,6 +645,7 @@
                 brokenOff: isBrokenOff ? true : undefined,
                 fingerprint: isBrokenOff ? fingerprint : undefined,
                 unframed: isUnframed ? true : undefined,
+                earlierResponses: earlierResponses > 0 ? earlierResponses : undefined,
                 events: events > 0 ? events : undefined,
                 confidence: headConfidence,
                 limitPerSecond,
--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -30,7 +30,8 @@
 export interface UpstreamHandlers {
     /** The connection is established and the request is about to be written to it. */
     readonly onStart?: () => void;
-    readonly onHead: (status: number, headers: IncomingHttpHeaders) => void;
+    /** `earlierResponses` counts the responses that were read from the connection before. */
+    readonly onHead: (status: number, headers: IncomingHttpHeaders, earlierResponses?: number) => void;
     readonly onChunk: (chunk: Buffer) => void;
     /** The response ended and its body has the announced length. */
     readonly onEnd: () => void;
@@ -88,6 +89,8 @@
 interface WatchedConnection {
     /** Records that a head or a part of a body was read. */
     recordProgress(): void;
+    /** Records that the head of a response was read, and returns how many were read before. */
+    countResponse(): number;
     /** Whether the upstream reset the connection before its end was read. */
     wasReset(): boolean;
     /** Whether the upstream has closed the connection, after bytes that could be read. */
@@ -116,6 +119,7 @@
 
     const watch = (socket: Socket): void => {
         let bytesAtProgress = 0;
+        let responses = 0;
         let hasEnded = false;
         // undici ends the response in its own listener for the end, after the one of the watch.
         const resets = watchForReset(socket);
@@ -123,6 +127,10 @@
             recordProgress: () => {
                 bytesAtProgress = socket.bytesRead;
             },
+            countResponse: () => {
+                responses += 1;
+                return responses - 1;
+            },
             wasReset: resets.wasReset,
             hasEnded: () => hasEnded,
         };
@@ -211,11 +219,13 @@
                     handlers.onStart?.();
                 },
                 onResponseStart: (_controller, status, headers) => {
+                    let earlierResponses = 0;
                     if (status >= HTTP_OK) {
                         connection = connections.current();
                         connection?.recordProgress();
+                        earlierResponses = connection?.countResponse() ?? 0;
                     }
-                    handlers.onHead(status, headers);
+                    handlers.onHead(status, headers, earlierResponses);
                 },
                 onResponseData: (_controller, chunk) => {
                     connection?.recordProgress();
