Use a new connection where a late copy of a rejection could be taken for an answer

Cause: an upstream that rejects an attempt may send the rejection a second time, late, where the next response of the connection is expected. The request is then sent to it again under the same attempt id, often on the same connection, so the copy is taken for the answer: the request counts as not run and is sent once more while it runs. Only routes whose requests may run once had connections of their own; streams that may not be resumed shared them.

An attempt now gets a new connection if its request may run only once, or if the upstream has rejected the request before. The second part covers requests that may be repeated, which the same copy made run beyond the attempts of their route. Handovers to another node follow the first part.

--- a/src/node/forwarding/__tests__/lost-handovers.spec.ts
+++ b/src/node/forwarding/__tests__/lost-handovers.spec.ts
@@ -6,6 +6,7 @@
 import type { TestContext } from "node:test";
 import { resetConnection } from "../../common/reset-connection.js";
 import type { ProbeResult } from "../../handover/reachability.js";
+import type { Route } from "../../routes/entities.js";
 import type { Handover } from "../request-forwarder.js";
 import { createForwarderFixture } from "./forwarder-fixture.js";
 import type { ForwarderFixture, RespondToAttempt } from "./forwarder-fixture.js";
@@ -236,3 +237,23 @@
     });
     assert.deepEqual([answer.body, answer.end], ["id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "framed"]);
 });
+
+const CONNECTIONS: readonly (readonly [string, Partial<Route>, number])[] = [
+    ["streams that may not be resumed", { kind: "stream", resumable: false }, 2],
+    ["streams that may be resumed", { kind: "stream", resumable: true }, 1],
+];
+
+for (const [name, route, connections] of CONNECTIONS) {
+    test(`two ${name} are handed over on ${connections} connections, apart from late copies`, async context => {
+        const { send } = await createIsolatedForwarder(context, 1);
+        const sockets = new Set<Socket>();
+        for (let index = 0; index < 2; index += 1) {
+            const answer = await send(route, (socket, _attempt, head) => {
+                sockets.add(socket);
+                answerWhole(socket, head);
+            });
+            assert.equal(answer.status, 200);
+        }
+        assert.equal(sockets.size, connections);
+    });
+}
--- a/src/node/forwarding/attempt-policy.ts
+++ b/src/node/forwarding/attempt-policy.ts
@@ -145,6 +145,17 @@
     }
 }
 
+/**
+ * Whether an attempt needs a connection without earlier exchanges, of which a late copy of a response may follow.
+ * A copy that belongs to another request ends an attempt that cannot be repeated. A copy of a rejection of the
+ * same request looks like the answer to the attempt, so the request would be sent again while it runs.
+ *
+ * @param hasRejected The upstream has rejected the request before.
+ */
+export function needsNewConnection(route: Route, hasRejected: boolean): boolean {
+    return hasRejected || !isRepeatable(route);
+}
+
 /** Attempts left from which one is kept back for the loss of the helper. With fewer, the helper could not retry. */
 const MINIMUM_ATTEMPTS_TO_SHARE = 3;
 
--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -32,6 +32,7 @@
 import {
     attemptsOfHelper,
     endAfterUnconfirmed,
+    needsNewConnection,
     nextStep,
     nextStepAfterHandover,
     rejectOrFail,
@@ -295,6 +296,8 @@
         const sharedParts = sharedPartsOf(head.promptParts);
         const suspects = [...requestSuspects, ...sharedParts];
         const excluded = new Set<string>();
+        /** Addresses of the upstreams that rejected the request. */
+        const rejectedBy = new Set<string>();
         const failedVersions = new Set<string>();
         const routerChoosesModel = head.allowsModelChoice && route.models.length > 0;
         let model = routerChoosesModel ? firstModel(route.models) : undefined;
@@ -505,7 +508,7 @@
                         priority: options.scarcity?.enginePriorityOf(request),
                     }),
                     body: request.body.length === 0 ? undefined : request.body,
-                    dedicatedConnection: route.kind === "once",
+                    dedicatedConnection: needsNewConnection(route, rejectedBy.has(upstream.entry.address)),
                     headTimeoutMilliseconds: 0,
                     idleTimeoutMilliseconds: 0,
                 },
@@ -691,6 +694,9 @@
                 case "not-run":
                     excluded.add(upstream.entry.id);
                     retryAfterSeconds = result.retryAfterSeconds;
+                    if (result.isUnreached !== true) {
+                        rejectedBy.add(upstream.entry.address);
+                    }
                     if (result.isUnreached === true || result.isGone === true) {
                         unreached += 1;
                         unreachedMilliseconds += milliseconds;
@@ -811,7 +817,7 @@
                         ...encodeMaximumAttempts(helperAttempts),
                     },
                     body: request.body.length === 0 ? undefined : request.body,
-                    dedicatedConnection: route.kind === "once",
+                    dedicatedConnection: needsNewConnection(route, false),
                     headTimeoutMilliseconds: 0,
                     idleTimeoutMilliseconds: 0,
                 },
