Use a new connection for each service call of the ticket node that cannot be repeated

Callers of a booking got an error that says that it may have run, because the upstream had sent the answer to an earlier booking a second time on the same connection. The copy names another attempt, so the call failed, although its own answer followed.

Attempt ids of the ticket node are unique, so nothing ran twice here, but calls that cannot be repeated shared connections. They now get a connection each, as in the router node; completions and repeatable calls go on sharing.

Test: service-exchange.spec.ts failed before (attempt-failed for the second of two bookings), and passes now. Cost: a connection for each such call; not measured, as no deployment in force runs the ticket node.

--- a/src/node/dispatch/service-exchange.ts
+++ b/src/node/dispatch/service-exchange.ts
@@ -130,6 +130,8 @@
                             [HEADER.requestId]: requestId,
                         },
                         body: submission.body.length > 0 ? submission.body : undefined,
+                        // A late copy of the answer to another call would end one that cannot be repeated.
+                        dedicatedConnection: !request.repeatable,
                         headTimeoutMilliseconds: Math.max(1, request.deadline - dependencies.now()),
                         idleTimeoutMilliseconds: dependencies.idleTimeoutMilliseconds,
                     },
