Wait for a reset after the end of an answer without framing to a request with a body

Cause: what closes a connection from which it has read everything sends an end first, and the reset only when more of the upload arrives. The router looked for a reset at the moment of the end and closed its connection.

The end of such an answer is now reported 25 ms later. Until then the connection stays open, so a write error or a lost peer shows the reset.

--- a/src/node/common/reset-connection.ts
+++ b/src/node/common/reset-connection.ts
@@ -32,8 +32,14 @@
 
 /** Watches the end of a connection. */
 export interface ResetWatch {
-    /** Whether the other side reset the connection before its end was read. */
+    /** Whether the other side reset the connection before its end was read, or within the delay of that end. */
     wasReset(): boolean;
+    /**
+     * Reports the end of the connection later to the listeners that were added since the watch began. Until
+     * then the connection stays open, so that a reset that follows the end is recognized. Must be called before
+     * the end was read.
+     */
+    delayEnd(milliseconds: number): void;
     stop(): void;
 }
 
@@ -44,9 +50,28 @@
  */
 export function watchForReset(socket: Socket): ResetWatch {
     let hasLostPeer = false;
-    const onEnd = (): void => {
+    const checkPeer = (): void => {
         hasLostPeer = socket.remoteAddress === undefined;
     };
-    socket.prependListener("end", onEnd);
-    return { wasReset: () => hasLostPeer, stop: () => socket.off("end", onEnd) };
+    socket.prependListener("end", checkPeer);
+    const earlierListeners = new Set(socket.listeners("end"));
+    return {
+        wasReset: () => hasLostPeer,
+        delayEnd: milliseconds => {
+            const delayed = socket.listeners("end").filter(listener => !earlierListeners.has(listener));
+            delayed.forEach(listener => socket.off("end", listener as () => void));
+            // Only the delayed check may read the remote address.
+            socket.off("end", checkPeer);
+            // Node.js closes the connection at its end otherwise.
+            socket.allowHalfOpen = true;
+            socket.once("end", () => {
+                const timer = setTimeout(() => {
+                    checkPeer();
+                    delayed.forEach(listener => listener.call(socket));
+                }, milliseconds);
+                socket.once("close", () => clearTimeout(timer));
+            });
+        },
+        stop: () => socket.off("end", checkPeer),
+    };
 }
--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -6,6 +6,7 @@
 import { watchForReset } from "../common/reset-connection.js";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import type { Verdict } from "../verdict/verdict.js";
+import { hasCertainEnd } from "./framing.js";
 
 export interface UpstreamRequest {
     /** Base URL of the upstream. */
@@ -85,6 +86,12 @@
  */
 const MAXIMUM_STRAY_BYTES = 256 * 1024;
 
+/**
+ * Time after the end of a connection in which the upstream may still reset it, milliseconds: many round trips
+ * within a region. An upstream that closes a connection within an upload resets it when more of the upload arrives.
+ */
+const LATE_RESET_MILLISECONDS = 25;
+
 /** What is known of a connection besides the responses that are read from it. */
 interface WatchedConnection {
     /** Records that a head or a part of a body was read. */
@@ -95,6 +102,8 @@
     wasReset(): boolean;
     /** Whether the upstream has closed the connection, after bytes that could be read. */
     hasEnded(): boolean;
+    /** Waits for a reset after the end of the connection before the end is reported. */
+    delayEnd(): void;
 }
 
 /** Sees the connections of an agent. */
@@ -109,7 +118,8 @@
  *
  * - It replaces the error code of connection resets. undici treats a reset as the regular end of a response
  *   without a length, so a truncated response would appear complete.
- * - It recognizes resets that arrive together with bytes, and which libuv reports as a regular end.
+ * - It recognizes resets that arrive together with bytes, and which libuv reports as a regular end, and resets
+ *   that follow the end of a response without a length.
  * - It closes a connection on which bytes that are no response arrive without end: status lines, informational
  *   heads, empty lines, chunk extensions. undici limits only the header fields.
  */
@@ -121,7 +131,11 @@
         let bytesAtProgress = 0;
         let responses = 0;
         let hasEnded = false;
-        // undici ends the response in its own listener for the end, after the one of the watch.
+        // undici reports an end within chunks as a malformed response if the upstream had announced a close.
+        socket.prependListener("end", () => {
+            hasEnded = true;
+        });
+        // undici ends the response in its own listener for the end, which it adds later.
         const resets = watchForReset(socket);
         const connection: WatchedConnection = {
             recordProgress: () => {
@@ -133,11 +147,8 @@
             },
             wasReset: resets.wasReset,
             hasEnded: () => hasEnded,
+            delayEnd: () => resets.delayEnd(LATE_RESET_MILLISECONDS),
         };
-        // undici reports an end within chunks as a malformed response if the upstream had announced a close.
-        socket.prependListener("end", () => {
-            hasEnded = true;
-        });
         socket.prependListener("error", (error: NodeJS.ErrnoException) => {
             error.code = error.code === "ECONNRESET" ? RESET_CODE : error.code;
         });
@@ -224,6 +235,9 @@
                         connection = connections.current();
                         connection?.recordProgress();
                         earlierResponses = connection?.countResponse() ?? 0;
+                        if (request.body !== undefined && !hasCertainEnd(request.method, status, headers)) {
+                            connection?.delayEnd();
+                        }
                     }
                     handlers.onHead(status, headers, earlierResponses);
                 },
