Take a status above 599 for no answer

Callers could get an answer with the status 600 to 999 (MIXED): the router took each status from 500 on for a failure of the upstream and passed it on once no attempt was left. RFC 9110, section 15, allows 100 to 599.

Checked by class: 000, 001, 099, 20 and 2000 fail in the parser and are lost, heads from 102 to 199 are no answers, and the other clients of the project take each status that they do not know for a failure. The client of upstreams, which both programs use, now aborts such an exchange, so the request is repeated where its route allows it, and ends as 502 otherwise.

--- a/src/node/upstreams/send.ts
+++ b/src/node/upstreams/send.ts
@@ -69,6 +69,9 @@
 /** Lower statuses belong to informational heads, which precede the head of the response. */
 const HTTP_OK = 200;
 
+/** HTTP has no higher statuses. */
+const MAXIMUM_HTTP_STATUS = 599;
+
 /** Error code for a connection that the upstream reset. */
 const RESET_CODE = "UPSTREAM_RESET";
 
@@ -229,7 +232,11 @@
                     writeStarted = true;
                     handlers.onStart?.();
                 },
-                onResponseStart: (_controller, status, headers) => {
+                onResponseStart: (responseController, status, headers) => {
+                    if (status > MAXIMUM_HTTP_STATUS) {
+                        responseController.abort(new Error(`the status ${status} is not valid`));
+                        return;
+                    }
                     let earlierResponses = 0;
                     if (status >= HTTP_OK) {
                         connection = connections.current();
