Name the data centre of upstreams in the log, and count attempts in evacuated ones

The lines "Learned of an upstream." and "Sent the request to an upstream." name the data centre, and geraniumbarrow_evacuated_open_attempts counts the attempts that still run in evacuated ones.

--- a/src/node/forwarding/request-forwarder.ts
+++ b/src/node/forwarding/request-forwarder.ts
@@ -460,6 +460,7 @@
             options.limits.consume(process, sentAt);
             trace.add("attempts", "Sent the request to an upstream.", {
                 upstream: upstream.entry.id,
+                dataCentre: upstream.entry.dataCentre,
                 version: upstream.entry.version,
                 model: usedModel,
                 score: Math.round(choice.score * 10) / 10,
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -650,10 +650,16 @@
         [...quarantine.entries().keys()].filter(suspect => kindOfSuspect(suspect) === kind).length;
     metrics.gauge("quarantined_prompt_parts", () => countQuarantined("prompt part"));
     metrics.gauge("quarantined_requests", () => countQuarantined("request"));
+    const countEvacuatedAttempts = (): number =>
+        upstreams
+            .all()
+            .filter(({ entry }) => operators.isEvacuated(entry.dataCentre))
+            .reduce((sum, { entry }) => sum + (loads.ownLoads().get(entry.id)?.requests ?? 0), 0);
     metrics.gauge("limited_upstreams", () => limits.size);
     metrics.gauge("load_reports_aggregating", () => (loadReports.isAggregating() ? 1 : 0));
     metrics.gauge("load_reports_direct", () => (loadReports.isFallback() ? 1 : 0));
     metrics.gauge("sessions", () => sessions.size);
+    metrics.gauge("evacuated_open_attempts", countEvacuatedAttempts);
     if (scarcity !== undefined) {
         metrics.gauge("waiting_requests", () => scarcity.waitingRequests());
         metrics.gauge("waiting_bytes", () => scarcity.waitingBytes());
--- a/src/node/upstream-table/upstream-table.ts
+++ b/src/node/upstream-table/upstream-table.ts
@@ -121,6 +121,7 @@
             options.logger.info("Learned of an upstream.", {
                 upstream: entry.id,
                 service: entry.service,
+                dataCentre: entry.dataCentre,
                 version: entry.version,
                 leaving: entry.leaving,
                 coldMilliseconds: entry.coldMilliseconds,
