Count the bytes that nodes send each other by what they hold

Load reports count the bytes of reports, their news, sums and news that are passed on. Answers to nodes that read rows are counted by reason (start, changes, nothing) and by whether this node had the store. No logic changes.

--- a/src/node/replica/row-exchange.ts
+++ b/src/node/replica/row-exchange.ts
@@ -109,6 +109,17 @@
     /** Ids of the nodes through which this node reads the store, itself first. */
     readonly path: () => readonly string[];
     readonly clockOffset: () => number | undefined;
+    /** Counts the answers to other nodes. @default not counted */
+    readonly countAnswer?: (answer: RowAnswer) => void;
+}
+
+export interface RowAnswer {
+    /** `start`: the caller had no rows of some table. `changes`: it lacked rows. `nothing`: it lacked none. */
+    readonly reason: "start" | "changes" | "nothing";
+    /** Whether this node had the store. */
+    readonly isCurrent: boolean;
+    /** Length of the rows' values, characters. */
+    readonly characters: number;
 }
 
 /** Compressed values of large rows, kept as long as the rows. All followers of a node share them. */
@@ -159,6 +170,20 @@
     return { epoch, revision, complete, rows: changes.rows.map(decodeRow) };
 }
 
+function lengthOf(tables: WireResponse["tables"]): number {
+    return Object.values(tables)
+        .flatMap(({ rows }) => rows)
+        .reduce((sum, [key, , value]) => sum + key.length + (value?.length ?? 0), 0);
+}
+
+function reasonOf({ since }: WireRequest, tables: WireResponse["tables"]): RowAnswer["reason"] {
+    const changed = TABLE_NAMES.filter(table => (tables[table]?.rows.length ?? 0) > 0);
+    if (changed.length === 0) {
+        return "nothing";
+    }
+    return changed.some(table => since[table] === 0) ? "start" : "changes";
+}
+
 export function createRowExchange(options: RowExchangeOptions): RowExchange {
     const { peers, replicas, clock } = options;
     const waiting = new Set<() => void>();
@@ -213,8 +238,10 @@
             }
         }
         const offset = options.clockOffset();
+        const isCurrent = options.isCurrent();
+        options.countAnswer?.({ reason: reasonOf(request, tables), isCurrent, characters: lengthOf(tables) });
         return {
-            isCurrent: options.isCurrent(),
+            isCurrent,
             waitsForStore: true,
             path: options.path(),
             ...(offset === undefined ? {} : { storeMilliseconds: clock.now() + offset }),
--- a/src/node/router/router.ts
+++ b/src/node/router/router.ts
@@ -178,6 +178,11 @@
         isCurrent: () => sync.isCurrent(),
         path: () => sync.path(),
         clockOffset: () => sync.clockOffset(),
+        countAnswer: ({ reason, isCurrent, characters }) => {
+            const labels = { reason, connected: String(isCurrent) };
+            metrics.count("row_answers_total", labels);
+            metrics.count("row_answer_characters_total", labels, characters);
+        },
     });
     const storeTiming = resolveStoreTiming(config.store.applyMilliseconds);
     const sync = createStoreSync({
@@ -418,6 +423,7 @@
         brittle,
         waiting: scarcity,
         ...(speeds === undefined ? {} : { speeds }),
+        countSent: (content, bytes) => metrics.count("load_report_bytes_total", { content }, bytes),
         clock,
         random,
         lifecycle,
@@ -657,6 +663,12 @@
             .reduce((sum, { entry }) => sum + (loads.ownLoads().get(entry.id)?.requests ?? 0), 0);
     metrics.gauge("limited_upstreams", () => limits.size);
     metrics.gauge("load_reports_aggregating", () => (loadReports.isAggregating() ? 1 : 0));
+    (["report", "report news", "sums", "news"] as const).forEach(content =>
+        metrics.count("load_report_bytes_total", { content }, 0),
+    );
+    ["row_answers_total", "row_answer_characters_total"].forEach(name =>
+        metrics.count(name, { reason: "nothing", connected: "true" }, 0),
+    );
     metrics.gauge("load_reports_direct", () => (loadReports.isFallback() ? 1 : 0));
     metrics.gauge("sessions", () => sessions.size);
     metrics.gauge("evacuated_open_attempts", countEvacuatedAttempts);
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -149,6 +149,9 @@
     close(): void;
 }
 
+/** What a datagram holds: the loads of a node, its news, sums of loads and lists of nodes, or news that are passed on. */
+export type DatagramContent = "report" | "report news" | "sums" | "news";
+
 export interface LoadReports {
     /** Sends a report soon, because other nodes should not wait for what it holds. */
     sendSoon(): void;
@@ -183,6 +186,8 @@
     readonly peerStates: Pick<PeerStates, "record">;
     /** Requests that wait for capacity, which the reports carry where it is scarce. */
     readonly waiting?: Pick<Scarcity, "reportWaiting" | "mergeWaiting">;
+    /** Counts what is sent, in bytes. The news of a report are counted apart from its loads. @default not counted */
+    readonly countSent?: (content: DatagramContent, bytes: number) => void;
     readonly clock: Clock;
     readonly random: Random;
     readonly lifecycle: Lifecycle;
@@ -266,6 +271,7 @@
             for (const content of contents) {
                 const datagram = JSON.stringify({ news: options.node, content });
                 addresses.forEach(address => socket.send(datagram, options.port, address));
+                options.countSent?.("news", Buffer.byteLength(datagram) * addresses.length);
             }
         };
         send(newsForMembers.take(now), own);
@@ -283,6 +289,7 @@
         const own = { ...ownSums(), sequence };
         for (const { address, datagram } of aggregation.messages(own, options.isIsolated(), now)) {
             socket.send(datagram, options.port, address);
+            options.countSent?.("sums", datagram.length);
         }
     };
 
@@ -465,8 +472,12 @@
             const fallback = isFallback ? true : undefined;
             const content = plan.isAggregated ? { ...allNews, sequence, fallback } : news;
             const datagram = encode(options.node, loads, ejected, content);
+            const newsBytes = news === undefined ? 0 : Buffer.byteLength(JSON.stringify(news));
+            const reportBytes = Buffer.byteLength(datagram) - newsBytes;
             for (const peer of receiversOf(plan, isFallback)) {
                 socket.send(datagram, options.port, peer);
+                options.countSent?.("report", reportBytes);
+                options.countSent?.("report news", newsBytes);
             }
         }
         if (isAggregating) {
