--- a/src/node/upstream-table/__tests__/load-aggregation.spec.ts
+++ b/src/node/upstream-table/__tests__/load-aggregation.spec.ts
@@ -2,147 +2,19 @@
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
 import { test } from "node:test";
-import type { TestContext } from "node:test";
 import { delay, systemClock } from "../../common/clock.js";
 import { createSeededRandom } from "../../common/random.js";
 import { createPeerStates } from "../../handover/helpers.js";
-import type { PeerStates } from "../../handover/helpers.js";
 import { createLifecycle } from "../../lifecycle/lifecycle.js";
-import type { Lifecycle } from "../../lifecycle/lifecycle.js";
 import { silentLogging } from "../../logging/logging.js";
 import { createAggregationPlans, planAggregation } from "../aggregation-plan.js";
 import type { ReportingNode } from "../aggregation-plan.js";
 import { createBrittleServices } from "../brittle-services.js";
-import type { BrittleServices } from "../brittle-services.js";
 import { createLoadBoard } from "../load-board.js";
-import type { LoadBoard, LoadEntry } from "../load-board.js";
+import type { LoadEntry } from "../load-board.js";
 import { createLoadReports } from "../load-reports.js";
-import type { LoadReports } from "../load-reports.js";
-
-interface TestNode {
-    readonly entry: ReportingNode;
-    readonly board: LoadBoard;
-    readonly states: PeerStates;
-    readonly brittle: BrittleServices;
-    readonly reports: LoadReports;
-    readonly ejected: Set<string>;
-    isIsolated: boolean;
-    /** The node neither sends nor receives. */
-    isCutOff: boolean;
-    sentDatagrams: number;
-    sentBytes: number;
-    receivedDatagrams: number;
-    lastDatagram: string;
-    largestBytes: number;
-}
-
-interface Fleet {
-    readonly nodes: readonly TestNode[];
-    advance(milliseconds: number): Promise<void>;
-    /** Whether a datagram is lost. */
-    loses: (from: TestNode, to: TestNode) => boolean;
-}
-
-const SETTLING_MILLISECONDS = 2500;
-
-async function createFleet(
-    context: TestContext,
-    size: number,
-    dataCentres: number,
-    aggregates: (index: number) => boolean = () => true,
-): Promise<Fleet> {
-    context.mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"] });
-    const random = createSeededRandom(size);
-    const entries: readonly ReportingNode[] = Array.from({ length: size }, (_, index) => ({
-        id: `node-${index}`,
-        dataCentre: `dc-${index % dataCentres}`,
-        address: `10.0.0.${index}`,
-        ...(aggregates(index) ? { aggregatesLoads: true } : {}),
-    }));
-    const receivers = new Map<string, (datagram: Buffer, from: TestNode) => void>();
-    const lifecycles: Lifecycle[] = [];
-    const clock = { now: Date.now, wallTime: Date.now };
-    const fleet: Fleet = {
-        nodes: [],
-        loses: () => false,
-        advance: async milliseconds => {
-            for (let elapsed = 0; elapsed < milliseconds; elapsed += 5) {
-                context.mock.timers.tick(5);
-                await Promise.resolve();
-            }
-        },
-    };
-    const nodes = fleet.nodes as TestNode[];
-    for (const entry of entries) {
-        const lifecycle = createLifecycle();
-        const board = createLoadBoard();
-        const states = createPeerStates();
-        const brittle = createBrittleServices();
-        const ejected = new Set<string>();
-        const node: TestNode = {
-            entry,
-            board,
-            states,
-            brittle,
-            ejected,
-            isIsolated: false,
-            isCutOff: false,
-            sentDatagrams: 0,
-            sentBytes: 0,
-            receivedDatagrams: 0,
-            lastDatagram: "",
-            largestBytes: 0,
-            reports: createLoadReports({
-                node: entry.id,
-                dataCentre: entry.dataCentre,
-                address: entry.address,
-                port: 1,
-                plan: createAggregationPlans(entry, () => entries),
-                openPort: () => ({
-                    bind: (_port, _address, onBound) => onBound(),
-                    send: (datagram, _port, address) => {
-                        const bytes = Buffer.from(datagram as string);
-                        node.sentDatagrams += 1;
-                        node.lastDatagram = bytes.toString();
-                        node.sentBytes += bytes.length;
-                        node.largestBytes = Math.max(node.largestBytes, bytes.length);
-                        setTimeout(() => receivers.get(address)!(bytes, node), 1);
-                    },
-                    onMessage: listener =>
-                        void receivers.set(entry.address, (datagram, from) => {
-                            if (!node.isCutOff && !from.isCutOff && !fleet.loses(from, node)) {
-                                node.receivedDatagrams += 1;
-                                listener(datagram);
-                            }
-                        }),
-                    onError: () => () => undefined,
-                    close: () => undefined,
-                }),
-                board,
-                ejected: () => [...ejected],
-                quarantine: { report: () => undefined, merge: () => undefined },
-                limits: { report: () => undefined, merge: () => undefined },
-                brittle,
-                isIsolated: () => node.isIsolated,
-                peerStates: states,
-                clock,
-                random,
-                lifecycle,
-                logger: silentLogging("loads"),
-            }),
-        };
-        nodes.push(node);
-        lifecycles.push(lifecycle);
-    }
-    // Nodes do not start in step.
-    for (const lifecycle of lifecycles) {
-        await lifecycle.start();
-        await fleet.advance(5 * Math.floor(random() * 4));
-    }
-    context.after(() => Promise.all(lifecycles.map(lifecycle => lifecycle.stop())));
-    await fleet.advance(SETTLING_MILLISECONDS);
-    return fleet;
-}
+import { createFleet } from "./load-report-fleet.js";
+import type { Fleet, TestNode } from "./load-report-fleet.js";
 
 const requestsAt = (node: TestNode, upstream: string): number =>
     node.board.total(upstream, Date.now()).requests;
@@ -200,7 +72,7 @@
 for (const size of [24, 72]) {
     test(`${size} nodes exchange far fewer datagrams, and their loads are no older`, async context => {
         const measure = async (aggregates: boolean) => {
-            const fleet = await createFleet(context, size, 4, () => aggregates);
+            const fleet = await createFleet(context, size, 4, { aggregates: () => aggregates });
             const age = await averageAge(fleet);
             const counts = fleet.nodes.map(node => [
                 node.sentDatagrams,
@@ -399,7 +271,7 @@
 });
 
 test("nodes of an earlier version are understood, and understand the others", async context => {
-    const fleet = await createFleet(context, 30, 3, index => index % 5 !== 0);
+    const fleet = await createFleet(context, 30, 3, { aggregates: index => index % 5 !== 0 });
     fleet.nodes.forEach(node => node.board.begin("a", 1, 1));
     // Round-robin reports to 29 peers take two intervals.
     await fleet.advance(800);
