Bound the news of crashes that nodes pass on

Cause: each node reported what it had learned from others, and every node's version of a crash, with its own suspects in its own order, was another item for aggregating nodes. Crashes that were displaced from the bounded memory were news again, and answers whose age had grown by 30 ms on the way too.

Change: a node reports what it has observed itself, twice, and what recurs in other crashes four times. An answer that another node reports is not reported again. Aggregating nodes pass crashes on suspect by suspect; nodes that do not aggregate get those whose suspect recurs, since only these can be blamed. Evidence to each receiver is bounded in characters a second; what recurs goes first. The second aggregating node keeps the evidence too, for a takeover. A node that hears no aggregating node reports evidence to its data centre.

--- a/src/node/quarantine/crash-evidence.ts
+++ b/src/node/quarantine/crash-evidence.ts
@@ -2,6 +2,9 @@
  * Evidence of all nodes about crashes of upstreams: which processes broke off, which suspects waited for an
  * answer there, and which of them upstreams have answered. The merged state does not depend on the order in
  * which reports arrive.
+ *
+ * A node reports only what it has observed itself, a few times in case datagrams are lost. What it learned from
+ * others is theirs to report, so that the number of reports grows with the observations and not with the nodes.
  */
 import { createBoundedMap } from "../common/bounded-map.js";
 import type { BoundedMap } from "../common/bounded-map.js";
@@ -26,7 +29,7 @@
     /** Records that an upstream broke off a request; `suspects` are those that it had not answered. */
     recordBreak(process: string, suspects: readonly Suspect[], now: number): void;
     /** Records a response of a process to a request that was sent at `sentAt`. */
-    recordResponse(process: string, sentAt: number, now: number): void;
+    recordResponse(process: string, sentAt: number): void;
     /** Records that an upstream has answered these suspects. */
     recordAnswer(suspects: readonly Suspect[], now: number): void;
     /** Monotonic time at which a suspect was last answered, as far as this node knows. */
@@ -35,7 +38,7 @@
     blamed(now: number): ReadonlyMap<string, Blame>;
     /** Adds the evidence of another node. */
     merge(evidence: WireEvidence, now: number): void;
-    /** Evidence that this node learned recently, for the other nodes; `undefined` when there is none. */
+    /** Observations of this node that are due to be reported to the others; `undefined` when there are none. */
     news(now: number): WireEvidence | undefined;
     /** Increases whenever `blamed` may have changed. */
     readonly revision: number;
@@ -59,8 +62,13 @@
 /** Difference below which times of two nodes count as equal, milliseconds. */
 const CLOCK_MARGIN_MILLISECONDS = 30;
 
-/** Time for which a node passes on what it learned, milliseconds: several reports. */
-const NEWS_MILLISECONDS = 500;
+/**
+ * Reports of an observation, those of what recurs in other crashes, and the shortest time between two of them,
+ * milliseconds. The last ones make aggregating nodes pass it on once more.
+ */
+const REPORTS_PER_OBSERVATION = 2;
+const REPORTS_IF_RECURRING = 4;
+const REPEAT_MILLISECONDS = 90;
 
 /** Upper bounds on the state. Suspects are chosen by callers. */
 const MAXIMUM_CRASHES = 64;
@@ -77,20 +85,41 @@
     readonly at: number;
     readonly suspects: ReadonlyMap<string, number>;
     readonly isRefuted: boolean;
-    /** Monotonic time of the last change. */
-    readonly changedAt: number;
+}
+
+/** Crash as this node has observed it. */
+interface ObservedCrash extends KnownCrash {
+    readonly state: ReportState;
+}
+
+/** How often an observation was reported, and the monotonic time of the last report. */
+interface ReportState {
+    readonly reports: number;
+    readonly reportedAt: number;
+}
+
+const UNREPORTED: ReportState = { reports: 0, reportedAt: -Infinity };
+
+function isDue({ reports, reportedAt }: ReportState, isRecurring: boolean, now: number): boolean {
+    const maximumReports = isRecurring ? REPORTS_IF_RECURRING : REPORTS_PER_OBSERVATION;
+    return reports < maximumReports && now - reportedAt >= REPEAT_MILLISECONDS;
+}
+
+function reported({ reports }: ReportState, now: number): ReportState {
+    return { reports: reports + 1, reportedAt: now };
 }
 
 export function createCrashEvidence(): CrashEvidence {
     const crashes = createBoundedMap<KnownCrash>(MAXIMUM_CRASHES);
+    const observed = createBoundedMap<ObservedCrash>(MAXIMUM_CRASHES);
     /** Answered requests are many, and must not displace the prompt parts. */
     const answeredRequests = createBoundedMap<number>(MAXIMUM_ANSWERED_SUSPECTS);
     const answeredParts = createBoundedMap<number>(MAXIMUM_ANSWERED_SUSPECTS);
     const survivedParts = createBoundedMap<number>(MAXIMUM_ANSWERED_SUSPECTS);
     /** Time at which the last request that a process responded to was sent. */
     const responses = createBoundedMap<number>(MAXIMUM_PROCESSES);
-    /** Time at which this node learned that a suspect of a crash was answered. */
-    const sharedAnswers = createBoundedMap<number>(MAXIMUM_SHARED_ANSWERS);
+    /** Suspects of crashes that this node knows to be answered. */
+    const sharedAnswers = createBoundedMap<ReportState>(MAXIMUM_SHARED_ANSWERS);
     let revision = 0;
 
     const answersOf = (suspect: string): BoundedMap<number> => {
@@ -117,33 +146,75 @@
         );
     };
 
-    const shareAnswer = (suspect: string, now: number): void => {
-        sharedAnswers.set(suspect, now);
+    /** Whether several crashes may be the suspect's. */
+    const isRecurring = (suspect: string): boolean =>
+        [...crashes.entries()].filter(
+            ([, { at, suspects }]) => suspects.has(suspect) && !isInnocent(suspect, at),
+        ).length > 1;
+
+    /** Suspects of an observed crash that are to be reported now. */
+    const dueSuspects = (
+        { state, suspects }: ObservedCrash,
+        now: number,
+    ): readonly (readonly [string, number])[] =>
+        isDue(state, false, now)
+            ? [...suspects]
+            : [...suspects].filter(([id]) => isDue(state, true, now) && isRecurring(id));
+
+    const shareAnswer = (suspect: string): void => {
+        sharedAnswers.set(suspect, UNREPORTED);
         revision += 1;
     };
 
+    const hasCrashBetween = (suspect: string, from: number, to: number): boolean =>
+        [...crashes.entries()].some(([, { at, suspects }]) => at > from && at <= to && suspects.has(suspect));
+
+    /** Another node reports the answer, so this one need not, unless its own tells more. */
+    const withdrawAnswer = (suspect: string, reportedAnswerAt: number): void => {
+        const ownAnswerAt = answersOf(suspect).get(suspect) ?? -Infinity;
+        const isUnreported = sharedAnswers.get(suspect)?.reports === 0;
+        if (isUnreported && !hasCrashBetween(suspect, reportedAnswerAt, ownAnswerAt)) {
+            sharedAnswers.delete(suspect);
+        }
+    };
+
+    const observe = (
+        process: string,
+        at: number,
+        suspects: readonly (readonly [string, number])[],
+        isRefuted: boolean,
+    ): void => {
+        const known = observed.get(process);
+        const merged = new Map([...(known?.suspects ?? []), ...suspects].slice(0, MAXIMUM_SUSPECTS));
+        const refuted = isRefuted || known?.isRefuted === true;
+        if (known === undefined || merged.size > known.suspects.size || refuted !== known.isRefuted) {
+            observed.set(process, { at, suspects: merged, isRefuted: refuted, state: UNREPORTED });
+        }
+    };
+
     const addCrash = (
         process: string,
         at: number,
         suspects: readonly (readonly [string, number])[],
         isRefuted: boolean,
-        now: number,
     ): void => {
         const known = crashes.get(process);
         const merged = new Map([...(known?.suspects ?? []), ...suspects].slice(0, MAXIMUM_SUSPECTS));
         const crashedAt = Math.min(at, known?.at ?? Infinity);
-        const refuted = isRefuted || known?.isRefuted === true || hasRespondedAfter(process, crashedAt);
+        const wasRefuted = isRefuted || known?.isRefuted === true;
+        const refuted = wasRefuted || hasRespondedAfter(process, crashedAt);
+        if (refuted && !wasRefuted) {
+            observe(process, crashedAt, [], true);
+        }
         suspects
             .filter(([id]) => isInnocent(id, crashedAt) && known?.suspects.has(id) !== true)
-            .forEach(([id]) => shareAnswer(id, now));
+            .forEach(([id]) => shareAnswer(id));
         const isUnchanged =
             known !== undefined && merged.size === known.suspects.size && refuted === known.isRefuted;
         if (isUnchanged && crashedAt === known.at) {
             return;
         }
-        // A more exact time changes the result of this node, but is no news to others.
-        const changedAt = isUnchanged ? known.changedAt : now;
-        crashes.set(process, { at: crashedAt, suspects: merged, isRefuted: refuted, changedAt });
+        crashes.set(process, { at: crashedAt, suspects: merged, isRefuted: refuted });
         revision += 1;
     };
 
@@ -153,14 +224,15 @@
                 .filter(({ id }) => !isInnocent(id, now))
                 .map(({ id, position }) => [id, position] as const);
             if (possible.length > 0) {
-                addCrash(process, now, possible, false, now);
+                addCrash(process, now, possible, false);
+                observe(process, now, possible, false);
             }
         },
-        recordResponse: (process, sentAt, now) => {
+        recordResponse: (process, sentAt) => {
             responses.set(process, Math.max(sentAt, responses.get(process) ?? 0));
             const crash = crashes.get(process);
             if (crash !== undefined && !crash.isRefuted && hasRespondedAfter(process, crash.at)) {
-                addCrash(process, crash.at, [], true, now);
+                addCrash(process, crash.at, [], false);
             }
         },
         recordAnswer: (suspects, now) => {
@@ -168,7 +240,7 @@
                 const wasInnocent = isInnocent(id, now);
                 answersOf(id).set(id, now);
                 if (!wasInnocent && isSuspected(id)) {
-                    shareAnswer(id, now);
+                    shareAnswer(id);
                 }
             }
         },
@@ -185,40 +257,47 @@
         merge: (evidence, now) => {
             for (const [id, age] of evidence.answers) {
                 const answeredAt = now - age;
+                withdrawAnswer(id, answeredAt);
                 if (answeredAt > (answersOf(id).get(id) ?? -Infinity) + CLOCK_MARGIN_MILLISECONDS) {
                     answersOf(id).set(id, answeredAt);
-                    shareAnswer(id, now);
+                    revision += 1;
                 }
             }
             for (const [process, age, refuted, suspects] of evidence.crashes) {
-                addCrash(process, now - age, suspects, refuted === 1, now);
+                addCrash(process, now - age, suspects, refuted === 1);
             }
         },
         news: now => {
             let reportedSuspects = 0;
-            const newCrashes = [...crashes.entries()]
-                .reverse()
-                .filter(([, { changedAt, suspects }]) => {
-                    if (now - changedAt >= NEWS_MILLISECONDS) {
-                        return false;
-                    }
-                    reportedSuspects += suspects.size;
-                    return reportedSuspects <= MAXIMUM_REPORTED_SUSPECTS;
-                })
-                .map(
-                    ([process, { at, isRefuted, suspects }]) =>
-                        [process, Math.round(now - at), isRefuted ? 1 : 0, [...suspects]] as const,
-                );
+            const newCrashes = [...observed.entries()].reverse().flatMap(([process, crash]) => {
+                const suspects = dueSuspects(crash, now);
+                const isRefutation = crash.isRefuted && isDue(crash.state, false, now);
+                if (suspects.length === 0 && !isRefutation) {
+                    return [];
+                }
+                reportedSuspects += suspects.length;
+                return reportedSuspects <= MAXIMUM_REPORTED_SUSPECTS ? [{ process, crash, suspects }] : [];
+            });
             const newAnswers = [...sharedAnswers.entries()]
-                .filter(([, learnedAt]) => now - learnedAt < NEWS_MILLISECONDS)
-                .slice(-MAXIMUM_REPORTED_ANSWERS)
-                .flatMap(([id]) => {
+                .filter(([, state]) => isDue(state, true, now))
+                .slice(-MAXIMUM_REPORTED_ANSWERS);
+            newCrashes.forEach(({ process, crash }) =>
+                observed.set(process, { ...crash, state: reported(crash.state, now) }),
+            );
+            newAnswers.forEach(([id, state]) => sharedAnswers.set(id, reported(state, now)));
+            if (newCrashes.length + newAnswers.length === 0) {
+                return undefined;
+            }
+            return {
+                crashes: newCrashes.map(
+                    ({ process, crash: { at, isRefuted }, suspects }) =>
+                        [process, Math.round(now - at), isRefuted ? 1 : 0, suspects] as const,
+                ),
+                answers: newAnswers.flatMap(([id]) => {
                     const answeredAt = answersOf(id).get(id);
                     return answeredAt === undefined ? [] : [[id, Math.round(now - answeredAt)] as const];
-                });
-            return newCrashes.length + newAnswers.length === 0
-                ? undefined
-                : { crashes: newCrashes, answers: newAnswers };
+                }),
+            };
         },
         get revision() {
             return revision;
--- a/src/node/quarantine/quarantine.ts
+++ b/src/node/quarantine/quarantine.ts
@@ -242,7 +242,7 @@
                 now,
             ),
         recordResponse: (process, sentAt, now) => {
-            evidence.recordResponse(process, sentAt, now);
+            evidence.recordResponse(process, sentAt);
             evaluate(now);
         },
         recordAnswer,
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -15,7 +15,7 @@
 import type { BrittleServices, WireBrittleService } from "./brittle-services.js";
 import type { UpstreamLimits, WireLimit } from "./upstream-limits.js";
 import type { UpstreamSpeeds, WireSpeed } from "./upstream-speeds.js";
-import { PEERS_PER_INTERVAL } from "./aggregation-plan.js";
+import { AGGREGATORS, PEERS_PER_INTERVAL } from "./aggregation-plan.js";
 import type { AggregationPlan } from "./aggregation-plan.js";
 import { createLoadAggregation } from "./load-aggregation.js";
 import { decodeAggregate, parseDatagram } from "./load-messages.js";
@@ -32,6 +32,9 @@
 /** Time for which an early report collects what it sends, milliseconds. One crash breaks many requests. */
 const EARLY_REPORT_MILLISECONDS = 10;
 
+/** Shortest time between two times at which news is passed on, milliseconds. */
+const NEWS_PAUSE_MILLISECONDS = 40;
+
 /**
  * Interval of sums in data centres with few other nodes, milliseconds, and the largest number of those. Direct
  * reports would be newer there than sums at the usual interval, and the cost of more sums is small.
@@ -249,8 +252,8 @@
         recordState: (node, isIsolated, at) => options.peerStates.record(node, isIsolated, at),
     });
     board.select(aggregation.selection);
-    const newsForMembers = createNewsRelay();
-    const newsForOthers = createNewsRelay();
+    const newsForMembers = createNewsRelay("members");
+    const newsForOthers = createNewsRelay("aggregators");
     let sequence = firstSequence;
     let sentRevision = -1;
     let unchangedIntervals = 0;
@@ -261,11 +264,13 @@
     let early: NodeJS.Timeout | undefined;
     let earlyNews: NodeJS.Timeout | undefined;
     let earlySums: NodeJS.Timeout | undefined;
+    let newsSentAt = -Infinity;
     let sumsSentAt = -Infinity;
     let loggedRole = "member";
 
     const sendNews = (): void => {
         const now = clock.now();
+        newsSentAt = now;
         const { own, remote } = aggregation.newsReceivers(now);
         const send = (contents: readonly object[], addresses: readonly string[]): void => {
             for (const content of contents) {
@@ -305,17 +310,24 @@
         }
     };
 
+    /** Whether this node collects news to pass it on, now or when it takes over. */
+    const collectsNews = (): boolean => {
+        const { isAggregated, rank } = options.plan();
+        return isAggregated && rank < AGGREGATORS;
+    };
+
     const passOn = (news: WireNews, isOfDataCentre: boolean, now: number): void => {
-        if (!aggregation.isAggregating(now)) {
+        if (!collectsNews()) {
             return;
         }
         const hasOwn = newsForMembers.add(news, now);
         const hasRemote = isOfDataCentre && newsForOthers.add(news, now);
-        if ((hasOwn || hasRemote) && isOpen) {
+        if ((hasOwn || hasRemote) && isOpen && aggregation.isAggregating(now)) {
+            const pause = Math.max(EARLY_REPORT_MILLISECONDS, newsSentAt + NEWS_PAUSE_MILLISECONDS - now);
             earlyNews ??= setTimeout(() => {
                 earlyNews = undefined;
                 sendNews();
-            }, EARLY_REPORT_MILLISECONDS);
+            }, pause);
         }
     };
 
@@ -419,8 +431,16 @@
         }
     };
 
-    /** Peers that get the report of this node now. */
-    const receiversOf = (plan: AggregationPlan, isFallback: boolean): readonly string[] => {
+    /**
+     * Peers that get the report of this node now.
+     *
+     * @param hasEvidence Whether it holds evidence of crashes, which is reported a few times only.
+     */
+    const receiversOf = (
+        plan: AggregationPlan,
+        isFallback: boolean,
+        hasEvidence: boolean,
+    ): readonly string[] => {
         const all = [...plan.peers.values()].map(({ address }) => address);
         if (!plan.isAggregated) {
             const selection = nextPeers(all, cursor, PEERS_PER_INTERVAL);
@@ -436,8 +456,12 @@
             REMOTE_AGGREGATORS_PER_INTERVAL,
         );
         remoteCursor = remote.cursor;
-        const aggregators = plan.aggregators.map(({ address }) => address);
-        return [...new Set([...aggregators, ...remote.chosen, ...selection.chosen])];
+        const fixed =
+            isFallback && hasEvidence
+                ? [...plan.members.values(), ...plan.remoteAggregators]
+                : plan.aggregators;
+        const addresses = fixed.map(({ address }) => address);
+        return [...new Set([...addresses, ...remote.chosen, ...selection.chosen])];
     };
 
     const send = (): void => {
@@ -474,17 +498,22 @@
             const datagram = encode(options.node, loads, ejected, content);
             const newsBytes = news === undefined ? 0 : Buffer.byteLength(JSON.stringify(news));
             const reportBytes = Buffer.byteLength(datagram) - newsBytes;
-            for (const peer of receiversOf(plan, isFallback)) {
+            for (const peer of receiversOf(plan, isFallback, quarantine !== undefined)) {
                 socket.send(datagram, options.port, peer);
                 options.countSent?.("report", reportBytes);
                 options.countSent?.("report news", newsBytes);
             }
         }
-        if (isAggregating) {
-            if (news !== undefined) {
-                newsForMembers.add(news, now);
-                newsForOthers.add(news, now);
-            }
+        if (news !== undefined && collectsNews()) {
+            newsForMembers.add(news, now);
+            newsForOthers.add(news, now);
+        }
+        if (!isAggregating) {
+            // The first node of the data centre passes it on.
+            newsForMembers.take(now);
+            newsForOthers.take(now);
+        }
+        else {
             sendNews();
             if (earlySums === undefined) {
                 sendSums();
--- a/src/node/upstream-table/news-relay.ts
+++ b/src/node/upstream-table/news-relay.ts
@@ -1,8 +1,13 @@
 /**
  * Collects the news of load reports that an aggregating node passes on.
  *
- * News repeats for several reports, and every node that learns it reports it again, so what was passed on lately
- * is left out. Each item is passed on as it is, with its age increased by the time that it waited.
+ * News repeats for several reports and comes from several nodes, so what was passed on lately is left out. Crashes
+ * are passed on suspect by suspect: each node saw other requests break, and what two of them have in common is news
+ * once. Each item is passed on with its age increased by the time that it waited.
+ *
+ * What is passed on is bounded. Evidence of crashes, of which callers can cause any amount, waits when there is more;
+ * all other news goes first. A suspect is blamed for several crashes only, so nodes that do not aggregate get those
+ * crashes that have a suspect in common.
  */
 import { createBoundedMap } from "../common/bounded-map.js";
 
@@ -21,6 +26,28 @@
 /** Size of the items in one datagram, characters. */
 const MAXIMUM_DATAGRAM_CHARACTERS = 6000;
 
+/** Evidence of crashes that a receiver gets a second, characters: within what a node may use for control. */
+const EVIDENCE_CHARACTERS_PER_SECOND = 1500;
+
+/** The same for receivers that aggregate, of which there are few. */
+const AGGREGATOR_EVIDENCE_CHARACTERS_PER_SECOND = 5000;
+
+/** Time whose evidence a receiver gets at once after a pause, milliseconds. */
+const EVIDENCE_BURST_MILLISECONDS = 1000;
+
+/** Characters of a datagram beside its items, and the smallest amount of evidence that is worth one. */
+const DATAGRAM_CHARACTERS = 100;
+const MINIMUM_EVIDENCE_CHARACTERS = 300;
+
+/** Items of evidence that wait at most, and time for which they do, milliseconds: as long as a crash counts. */
+const MAXIMUM_WAITING_EVIDENCE = 1024;
+const EVIDENCE_WAIT_MILLISECONDS = 60_000;
+
+const CRASH_LIST = "quarantine.crashes";
+
+/** Lists that wait when there is more than each receiver may get. */
+const EVIDENCE_LISTS: readonly string[] = [CRASH_LIST, "quarantine.answers", "quarantine.quarantined"];
+
 /** Position of the age within the items of a list; other lists have no ages. */
 const AGE_POSITIONS: Readonly<Record<string, number>> = {
     "quarantine.crashes": 1,
@@ -41,12 +68,14 @@
     readonly path: readonly string[];
     readonly value: unknown;
     readonly at: number;
+    /** Size, characters. */
+    readonly length: number;
 }
 
 export interface NewsRelay {
-    /** Adds the news of a report. Returns whether something is to be passed on. */
+    /** Adds the news of a report. Returns whether it tells something that was not passed on lately. */
     add(news: object, now: number): boolean;
-    /** Removes and returns what is to be passed on, in the form of the news of reports. */
+    /** Removes and returns what is to be passed on now, in the form of the news of reports. */
     take(now: number): readonly object[];
 }
 
@@ -73,6 +102,38 @@
     );
 }
 
+type WireCrash = readonly [
+    process: string,
+    age: number,
+    refuted: 0 | 1,
+    suspects: readonly (readonly [suspect: string, position: number])[],
+];
+
+/** What can be news by itself: a crash with each suspect, or without any when nothing else is known of it. */
+function partsOf(name: string, value: unknown): readonly unknown[] {
+    if (name !== CRASH_LIST) {
+        return [value];
+    }
+    const [process, age, refuted, suspects] = value as WireCrash;
+    return suspects.length === 0 ? [value] : suspects.map(suspect => [process, age, refuted, [suspect]]);
+}
+
+/** Joins the parts of crashes. */
+function joinCrashes(crashes: readonly WireCrash[]): readonly WireCrash[] {
+    const joined = new Map<string, WireCrash>();
+    for (const [process, age, refuted, suspects] of crashes) {
+        const key = `${refuted} ${process}`;
+        const known = joined.get(key);
+        joined.set(
+            key,
+            known === undefined
+                ? [process, age, refuted, suspects]
+                : [process, Math.max(age, known[1]), refuted, [...known[3], ...suspects]],
+        );
+    }
+    return [...joined.values()];
+}
+
 /** Puts items into the form that reports have; lists of quarantine evidence must all be present. */
 function assemble(items: readonly NewsItem[], now: number): object {
     const news: Record<string, unknown> = {};
@@ -91,55 +152,131 @@
             };
         }
     }
-    return news;
+    const { quarantine } = news as { quarantine?: { readonly crashes: readonly WireCrash[] } };
+    return quarantine === undefined
+        ? news
+        : { ...news, quarantine: { ...quarantine, crashes: joinCrashes(quarantine.crashes) } };
 }
 
-export function createNewsRelay(): NewsRelay {
+const isEvidence = ({ path }: NewsItem): boolean => EVIDENCE_LISTS.includes(path.join("."));
+
+function datagramsOf(items: readonly NewsItem[]): readonly (readonly NewsItem[])[] {
+    const groups: NewsItem[][] = [];
+    let size = Infinity;
+    for (const item of items) {
+        if (size + item.length > MAXIMUM_DATAGRAM_CHARACTERS) {
+            groups.push([]);
+            size = 0;
+        }
+        groups.at(-1)!.push(item);
+        size += item.length;
+    }
+    return groups;
+}
+
+/** @param receivers `members` do not aggregate reports; `aggregators` pass on what they get to their members. */
+export function createNewsRelay(receivers: "members" | "aggregators" = "members"): NewsRelay {
+    const charactersPerSecond =
+        receivers === "members" ? EVIDENCE_CHARACTERS_PER_SECOND : AGGREGATOR_EVIDENCE_CHARACTERS_PER_SECOND;
+    const maximumAllowance = (charactersPerSecond * EVIDENCE_BURST_MILLISECONDS) / 1000;
     const passedOn = createBoundedMap<{
         readonly at: number;
         readonly isRepeated: boolean;
         readonly text: string;
     }>(MAXIMUM_KNOWN_ITEMS);
-    let pending: NewsItem[] = [];
+    /** Items that are to be passed on, by what they are about. */
+    const pending = new Map<string, NewsItem>();
+    /** Processes that crashed with a suspect, the first two. */
+    const crashedWith = createBoundedMap<ReadonlySet<string>>(MAXIMUM_KNOWN_ITEMS);
+    let allowance = maximumAllowance;
+    let allowanceAt = 0;
+
+    const recordCrash = ([process, , , suspects]: WireCrash): void => {
+        for (const [suspect] of suspects) {
+            const known = crashedWith.get(suspect) ?? new Set<string>();
+            crashedWith.set(suspect, known.size > 1 ? known : new Set([...known, process]));
+        }
+    };
+
+    /** Returns whether the part is to be passed on. */
+    const addPart = (path: readonly string[], value: unknown, now: number): boolean => {
+        const name = path.join(".");
+        const text = JSON.stringify(withAge(path, value, () => 0));
+        const fields = IDENTITY_FIELDS[name];
+        const isChanging = fields !== undefined && Array.isArray(value);
+        const identity = isChanging ? JSON.stringify(value.slice(0, fields)) : text;
+        const key = `${name} ${identity}`;
+        const known = passedOn.get(key);
+        const isChanged = known !== undefined && known.text !== text;
+        const elapsed = now - (known?.at ?? -Infinity);
+        const pause = known?.isRepeated === true ? REPEAT_MILLISECONDS : FIRST_REPEAT_MILLISECONDS;
+        const isWaiting = pending.has(key) && !isChanged;
+        if (isWaiting || (!isChanged && elapsed < pause)) {
+            return false;
+        }
+        const isRepeated = !isChanged && elapsed < FORGET_MILLISECONDS;
+        passedOn.set(key, { at: now, isRepeated, text });
+        pending.set(key, { path, value, at: now, length: text.length });
+        if (name === CRASH_LIST) {
+            recordCrash(value as WireCrash);
+        }
+        return true;
+    };
+
+    /** Whether an item is more than a crash whose suspect is known from no other one. */
+    const tellsMore = ({ path, value }: NewsItem): boolean => {
+        const suspects = path.join(".") === CRASH_LIST ? (value as WireCrash)[3] : [];
+        return (
+            suspects.length === 0 || suspects.some(([suspect]) => (crashedWith.get(suspect)?.size ?? 0) > 1)
+        );
+    };
+
+    /** Removes and returns the evidence that each receiver may get now. Among equals, the newest goes first. */
+    const takeEvidence = (now: number): readonly NewsItem[] => {
+        const elapsed = now - allowanceAt;
+        allowanceAt = now;
+        allowance = Math.min(maximumAllowance, allowance + (charactersPerSecond * elapsed) / 1000);
+        const newest = [...pending].filter(([, item]) => isEvidence(item)).reverse();
+        const first = newest.filter(([, item]) => tellsMore(item));
+        const ordered = [...new Set([...first, ...newest])];
+        const taken: NewsItem[] = [];
+        const mayTake = allowance >= MINIMUM_EVIDENCE_CHARACTERS;
+        for (const [key, item] of receivers === "members" ? first : ordered) {
+            if (!mayTake || allowance <= 0) {
+                break;
+            }
+            allowance -= item.length + (taken.length === 0 ? DATAGRAM_CHARACTERS : 0);
+            pending.delete(key);
+            taken.push(item);
+        }
+        const waiting = ordered.filter(([key]) => pending.has(key));
+        waiting
+            .filter(
+                ([, { at }], index) =>
+                    index >= MAXIMUM_WAITING_EVIDENCE || now - at > EVIDENCE_WAIT_MILLISECONDS,
+            )
+            .forEach(([key]) => pending.delete(key));
+        return taken;
+    };
+
+    const takeOthers = (): readonly NewsItem[] => {
+        const taken = [...pending].filter(([, item]) => !isEvidence(item));
+        taken.forEach(([key]) => pending.delete(key));
+        return taken.map(([, item]) => item);
+    };
 
     return {
         add: (news, now) => {
-            for (const [path, values] of listsOf(news, [])) {
-                for (const value of values) {
-                    const name = path.join(".");
-                    const text = JSON.stringify(withAge(path, value, () => 0));
-                    const fields = IDENTITY_FIELDS[name];
-                    const isChanging = fields !== undefined && Array.isArray(value);
-                    const identity = isChanging ? JSON.stringify(value.slice(0, fields)) : text;
-                    const key = `${name} ${identity}`;
-                    const known = passedOn.get(key);
-                    const isChanged = known !== undefined && known.text !== text;
-                    const elapsed = now - (known?.at ?? -Infinity);
-                    const pause =
-                        known?.isRepeated === true ? REPEAT_MILLISECONDS : FIRST_REPEAT_MILLISECONDS;
-                    if (isChanged || elapsed >= pause) {
-                        const isRepeated = !isChanged && elapsed < FORGET_MILLISECONDS;
-                        passedOn.set(key, { at: now, isRepeated, text });
-                        pending.push({ path, value, at: now });
-                    }
-                }
-            }
-            return pending.length > 0;
+            const added = listsOf(news, []).flatMap(([path, values]) =>
+                values
+                    .flatMap(value => partsOf(path.join("."), value))
+                    .filter(part => addPart(path, part, now)),
+            );
+            return added.length > 0;
         },
         take: now => {
-            const groups: NewsItem[][] = [];
-            let size = Infinity;
-            for (const item of pending) {
-                const length = JSON.stringify(item.value).length;
-                if (size + length > MAXIMUM_DATAGRAM_CHARACTERS) {
-                    groups.push([]);
-                    size = 0;
-                }
-                groups.at(-1)!.push(item);
-                size += length;
-            }
-            pending = [];
-            return groups.map(items => assemble(items, now));
+            const items = [...takeOthers(), ...takeEvidence(now)];
+            return datagramsOf(items).map(group => assemble(group, now));
         },
     };
 }
