End calls at their time limit while they wait for a connection

What callers saw: requests reached a data centre 8 s after it was to be emptied (bound 5 s).

Cause: undici looks at the signal of a request once it has a connection. A call with a limit of 0.9 s to a node whose link was full took 10 s. A node calls its relays one after the other, so the relay that it followed, and that had the order 1 s after it was written, was not called meanwhile; the node took itself for current, so it read neither the store nor peers.

Evidence: the relays carga-1, oficina-2 and pintura-3 answered no call from 26.8 s until 34 s, while their followers had lost nothing by their logs. A call with a limit of 0.3 s to a port that accepts nothing took 10.4 s.

Change: `requestUntilAborted` ends a call when its signal is aborted, for the store, peers, engines' orders, ratings, tables and objects, whose clients all had the same fault. A relay that is tried is called beside the one that is followed. A relay that has not answered for 2.5 s is not followed any longer, whatever its calls wait for.

--- a/src/node/common/__tests__/http-call.spec.ts
+++ b/src/node/common/__tests__/http-call.spec.ts
@@ -1,11 +1,14 @@
 /** Guards against reading a large response anew forever over a slow link, and against waiting for a dead one. */
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer } from "node:http";
 import type { RequestListener } from "node:http";
+import { connect } from "node:net";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
 import { Agent } from "undici";
 import { callHttp, SilenceError } from "../http-call.js";
 
@@ -65,3 +68,34 @@
     await assert.rejects(call(), SilenceError);
     assert.ok(Date.now() - startedAt < 2000);
 });
+
+/** Port of a server that does not accept connections and whose backlog is full, as of a host that has fallen silent. */
+async function listenWithoutAccepting(context: TestContext): Promise<number> {
+    const worker = new Worker(
+        `const { createServer } = require("node:net");
+        const { parentPort } = require("node:worker_threads");
+        const server = createServer().listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => {
+            parentPort.postMessage(server.address().port);
+            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0);
+        });`,
+        { eval: true },
+    );
+    const [port] = (await once(worker, "message")) as [number];
+    const sockets = Array.from({ length: 4 }, () => connect(port, "127.0.0.1").on("error", () => undefined));
+    context.after(async () => {
+        sockets.forEach(socket => socket.destroy());
+        await worker.terminate();
+    });
+    await delay(200);
+    return port;
+}
+
+test("a call to a host that does not answer connection attempts ends at its limit", async context => {
+    const port = await listenWithoutAccepting(context);
+    const dispatcher = new Agent();
+    context.after(() => dispatcher.destroy());
+    const startedAt = Date.now();
+    const call = { method: "GET", dispatcher, headMilliseconds: HEAD_MILLISECONDS } as const;
+    await assert.rejects(callHttp(`http://127.0.0.1:${port}/`, call), SilenceError);
+    assert.ok(Date.now() - startedAt < 2 * HEAD_MILLISECONDS, `${Date.now() - startedAt} ms`);
+});
--- a/src/node/common/http-call.ts
+++ b/src/node/common/http-call.ts
@@ -1,7 +1,7 @@
 /** HTTP calls whose time limits apply to silence and not to the duration of the whole call. */
 import type { IncomingHttpHeaders } from "node:http";
-import { request } from "undici";
 import type { Dispatcher } from "undici";
+import { requestUntilAborted } from "./abortable-request.js";
 
 export interface HttpCall {
     readonly method: "GET" | "POST";
@@ -51,7 +51,7 @@
         timer = abortAfter(PROGRESS_MILLISECONDS, "the response stopped arriving");
     };
     try {
-        const { statusCode, headers, body } = await request(url, {
+        const { statusCode, headers, body } = await requestUntilAborted(url, {
             method: call.method,
             headers: call.headers,
             body: call.body,
--- a/src/node/orders/http-orders.ts
+++ b/src/node/orders/http-orders.ts
@@ -1,5 +1,6 @@
 /** HTTP clients for the orders of engines and for the weight store. */
-import { Agent, request } from "undici";
+import { Agent } from "undici";
+import { requestUntilAborted } from "../common/abortable-request.js";
 import { z } from "zod";
 import type { Lifecycle } from "../lifecycle/lifecycle.js";
 import { CALL_TIMEOUT_MILLISECONDS } from "./constants.js";
@@ -46,7 +47,7 @@
     const agent = new Agent({ pipelining: 1, connectTimeout: CALL_TIMEOUT_MILLISECONDS });
     options.lifecycle.add({ name: "order connections", start: () => () => agent.destroy() });
     const post = (url: string, body: unknown, timeoutMilliseconds: number) =>
-        request(url, {
+        requestUntilAborted(url, {
             method: "POST",
             headers: { "content-type": "application/json" },
             body: JSON.stringify(body),
@@ -61,7 +62,7 @@
             return outcomeFromStatus(response.statusCode);
         },
         readEngine: async address => {
-            const response = await request(`${address}/orders`, {
+            const response = await requestUntilAborted(`${address}/orders`, {
                 dispatcher: agent,
                 signal: AbortSignal.timeout(CALL_TIMEOUT_MILLISECONDS),
             });
--- a/src/node/outside-services/http-storage-clients.ts
+++ b/src/node/outside-services/http-storage-clients.ts
@@ -1,5 +1,6 @@
 /** HTTP clients of the table service and the object store. The protocol is in `docs/platform-protocol.md`. */
-import { Agent, request } from "undici";
+import { Agent } from "undici";
+import { requestUntilAborted } from "../common/abortable-request.js";
 import type { ObjectStore } from "./object-store.js";
 import { OutsideServiceError } from "./table-service.js";
 import type { Row, TableService, TransactionResult } from "./table-service.js";
@@ -43,7 +44,7 @@
         const signal = AbortSignal.timeout(timeout);
         let result: CallResult;
         try {
-            const response = await request(`${options.baseUrl}${call.path}`, {
+            const response = await requestUntilAborted(`${options.baseUrl}${call.path}`, {
                 method: call.method,
                 body: call.body,
                 headers: { "content-type": "application/json", ...call.headers },
--- a/src/node/outside-services/rating-service.ts
+++ b/src/node/outside-services/rating-service.ts
@@ -1,5 +1,6 @@
 /** HTTP client of the rating service. */
-import { Agent, request } from "undici";
+import { Agent } from "undici";
+import { requestUntilAborted } from "../common/abortable-request.js";
 
 /** Timeout of a rating, after which the answer counts as unrated, milliseconds. */
 const RATING_TIMEOUT_MILLISECONDS = 2000;
@@ -13,7 +14,7 @@
     const agent = new Agent({ connections: CONNECTIONS, pipelining: 1 });
     return async (prompt, answer) => {
         try {
-            const response = await request(`${options.baseUrl}/ratings`, {
+            const response = await requestUntilAborted(`${options.baseUrl}/ratings`, {
                 method: "POST",
                 headers: { "content-type": "application/json" },
                 body: JSON.stringify({ prompt, answer }),
--- a/src/node/peers/http-peers.ts
+++ b/src/node/peers/http-peers.ts
@@ -95,6 +95,7 @@
         return new Agent({
             connections: CONNECTIONS_PER_PEER,
             pipelining: 1,
+            connectTimeout: DEFAULT_TIMEOUT_MILLISECONDS,
             connect:
                 options.tls === undefined
                     ? {}
--- a/src/node/replica/__tests__/relays.spec.ts
+++ b/src/node/replica/__tests__/relays.spec.ts
@@ -40,6 +40,8 @@
     readonly sync: StoreSync;
     /** The node neither responds to calls nor receives responses. */
     isFrozen: boolean;
+    /** Calls to the node never end, not even at their time limit. */
+    isUnending: boolean;
     canReachStore: boolean;
     /** Calls of this node to the store time out without a response. */
     isStoreSilent: boolean;
@@ -134,6 +136,9 @@
                 handle: (_method, handler) => void handlers.set(entry.id, handler),
                 call: async (address, _method, params, timeout) => {
                     const peer = nodes.find(({ id }) => id === address)!;
+                    if (peer.isUnending) {
+                        return new Promise(() => undefined);
+                    }
                     const limit = new Promise<never>((_resolve, reject) => {
                         setTimeout(() => reject(new Error("timed out")), timeout);
                     });
@@ -172,6 +177,7 @@
             dataCentre: entry.dataCentre,
             sync,
             isFrozen: false,
+            isUnending: false,
             canReachStore: true,
             isStoreSilent: false,
             storeCalls: 0,
@@ -394,6 +400,34 @@
     }
 });
 
+test("a change arrives at once while nodes try a relay that does not answer", async context => {
+    const fleet = await createFleet(context, 12, 1);
+    await fleet.advance(5000);
+    const [first] = fleet.readers();
+    first!.isFrozen = true;
+    first!.canReachStore = false;
+    await fleet.advance(3000);
+    const others = fleet.nodes.filter(node => node !== first);
+    for (let phase = 0; phase < 50; phase += 1) {
+        await fleet.advance(130);
+        fleet.write(`${phase}`);
+        await fleet.advance(200);
+        assert.deepEqual(valuesOf(others), [`${phase}`]);
+    }
+});
+
+test("a node does not rely on a relay to which its calls never end", async context => {
+    const fleet = await createFleet(context, 12, 1);
+    await fleet.advance(5000);
+    const [first] = fleet.readers();
+    first!.isUnending = true;
+    // Calls that are open are answered.
+    await fleet.advance(600);
+    fleet.write("second");
+    await fleet.advance(4000);
+    assert.deepEqual(valuesOf(fleet.nodes), ["second"]);
+});
+
 // The other nodes read the removal from the leaving relay itself, so their last call to it succeeds.
 test("a relay that was removed from the list is not used any longer", async context => {
     const fleet = await createFleet(context, 2, 1);
--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -83,6 +83,13 @@
 const MINIMUM_NO_RELAY_PAUSE_MILLISECONDS = 20;
 const NO_RELAY_PAUSE_MILLISECONDS = 500;
 
+/**
+ * Time without a response after which a relay is not followed any longer, milliseconds. More than the wait and the
+ * timeout of a call and the transfer of a large table; what remains of the shortest bound on an order suffices to
+ * read the store.
+ */
+const RELAY_SILENCE_MILLISECONDS = 2500;
+
 /** Time for which a relay counts as reachable after a response, milliseconds. */
 const RELAY_RESPONSE_VALIDITY_MILLISECONDS = 3000;
 
@@ -348,6 +355,7 @@
             logger.info("Follows a node instead of the store.", { relay: candidate.id });
         }
         relay = candidate;
+        avoidedUntil.delete(candidate.id);
         readTables.clear();
         failedTables.clear();
         mustProbe = false;
@@ -438,9 +446,10 @@
                 follow(candidate);
                 return;
             }
-            mustProbe ||= isFollowed && !response.isCurrent;
+            const isStillFollowed = relay?.id === candidate.id;
+            mustProbe ||= isStillFollowed && !response.isCurrent;
             const pause =
-                !response.isCurrent && response.waitsForStore && (relay === undefined || isFollowed)
+                !response.isCurrent && response.waitsForStore && (relay === undefined || isStillFollowed)
                     ? STORE_WAIT_PAUSE_MILLISECONDS
                     : DISCONNECTED_RELAY_PAUSE_MILLISECONDS;
             recordRelayFailure(candidate, reason, pause, 0);
@@ -455,14 +464,39 @@
         }
     };
 
-    /** Calls to relays while this node has lost the store, by node id. */
+    /** Open calls to relays, by node id. */
     const openPolls = new Map<string, Promise<void>>();
 
+    const startPoll = (candidate: Relay): void => {
+        const poll = pollRelay(candidate).finally(() => openPolls.delete(candidate.id));
+        openPolls.set(candidate.id, poll);
+    };
+
+    const isAvoided = ({ id }: Relay): boolean => (avoidedUntil.get(id) ?? 0) > clock.now();
+
+    /**
+     * Relays that are to be called now. A call that waits never keeps the relay that is followed from being
+     * called: at most one other relay is tried beside it, or beside the feeds of the store.
+     */
+    const relaysToPoll = (relays: readonly Relay[]): readonly Relay[] => {
+        const callable = relays.filter(candidate => !openPolls.has(candidate.id) && !isAvoided(candidate));
+        if (relay === undefined && !isCurrent()) {
+            // Whichever has the store first is followed.
+            return callable;
+        }
+        const position = relays.findIndex(({ id }) => id === relay?.id);
+        const followed = relays.filter(({ id }) => id === relay?.id && !openPolls.has(id));
+        const preferred = position < 0 ? relays : relays.slice(0, position);
+        const isTrying = [...openPolls.keys()].some(id => id !== relay?.id);
+        const tried = isTrying ? undefined : callable.find(candidate => preferred.includes(candidate));
+        return tried === undefined ? followed : [...followed, tried];
+    };
+
     /** Time until a relay may be called again. */
     const noRelayPause = (relays: readonly Relay[]): number => {
         const pauses = relays
-            .filter(({ id }) => !openPolls.has(id))
-            .map(({ id }) => (avoidedUntil.get(id) ?? 0) - clock.now());
+            .filter(candidate => !openPolls.has(candidate.id) && isAvoided(candidate))
+            .map(({ id }) => avoidedUntil.get(id)! - clock.now());
         return Math.max(
             MINIMUM_NO_RELAY_PAUSE_MILLISECONDS,
             Math.min(NO_RELAY_PAUSE_MILLISECONDS, ...pauses),
@@ -475,19 +509,13 @@
             if (relay !== undefined && !relays.some(({ id }) => id === relay!.id)) {
                 removeRelay(relay, "it is no longer a possible relay", timing.relayLossGraceMilliseconds);
             }
-            const candidates = relays.filter(
-                ({ id }) => !openPolls.has(id) && (avoidedUntil.get(id) ?? 0) <= clock.now(),
-            );
-            const [first] = candidates;
-            if (relay !== undefined || isCurrent()) {
-                await (first === undefined ? delay(noRelayPause(relays)) : pollRelay(first));
-                continue;
+            if (
+                relay !== undefined &&
+                clock.now() - relayHeardAt.get(relay.id)! > RELAY_SILENCE_MILLISECONDS
+            ) {
+                removeRelay(relay, "it has been silent", timing.relayLossGraceMilliseconds);
             }
-            // Whichever has the store first is followed.
-            candidates.forEach(candidate => {
-                const poll = pollRelay(candidate).finally(() => openPolls.delete(candidate.id));
-                openPolls.set(candidate.id, poll);
-            });
+            relaysToPoll(relays).forEach(startPoll);
             await Promise.race([...openPolls.values(), delay(noRelayPause(relays))]);
         }
     };
