Spread the calls of nodes that wait for relays in an outage

What callers would see: requests reach a data centre more than 5 s after it was to be emptied, when the store comes back for some nodes but not for their relays.

Cause: the pauses of the nodes behind relays double from the moment at which the outage begins for all of them, so their calls cluster. Between two clusters no node calls the store for several seconds, whoever it would serve. A pause was also computed once, for the relays that could be reached at its beginning, and could last 19.5 s at 195 nodes after they were gone.

Change: the pauses of these nodes are spread evenly, from none to twice their former length, and follow the relays that can be reached now.

The new tests fail before the change after 8 and 9 s of outage.

--- a/src/node/replica/__tests__/order-delays.spec.ts
+++ b/src/node/replica/__tests__/order-delays.spec.ts
@@ -156,3 +156,31 @@
         assert.ok(milliseconds < Math.min(EVACUATION_MILLISECONDS, STABILITY_MILLISECONDS));
     });
 }
+
+const OUTAGES_SECONDS: readonly number[] = (process.env["OUTAGES"] ?? "8,9,13").split(",").map(Number);
+
+for (const outage of OUTAGES_SECONDS) {
+    test(`an order arrives when relays stay without the store after ${outage} s, of which other nodes wait for them`, async context => {
+        const fleet = await createReplicationFleet(context, {
+            size: 195,
+            dataCentres: 6,
+            applyMilliseconds: APPLY_MILLISECONDS,
+        });
+        await fleet.advance(8000);
+        fleet.store = "rejects";
+        await fleet.advance(outage * 1000);
+        // The nodes with fast links are the relays.
+        fleet.nodes.slice(0, 20).forEach(node => {
+            node.store = "rejects";
+        });
+        fleet.store = "serves";
+        fleet.write({ table: "configuration", key: ORDER_KEY, value: "1" });
+        let milliseconds = 0;
+        while (fleet.nodes.some(node => node.value(ORDER_KEY) === undefined)) {
+            await fleet.advance(STEP_MILLISECONDS);
+            milliseconds += STEP_MILLISECONDS;
+        }
+        context.diagnostic(`${milliseconds} ms`);
+        assert.ok(milliseconds < EVACUATION_MILLISECONDS / 2);
+    });
+}
--- a/src/node/replica/store-sync.ts
+++ b/src/node/replica/store-sync.ts
@@ -46,7 +46,7 @@
 /** Interval between checks whether the probe table has been read, milliseconds. */
 const PROBE_POLL_MILLISECONDS = 20;
 
-/** Longest step of a pause after a failed call, milliseconds. A pause ends when a relay is lost meanwhile. */
+/** Longest step of a pause after a failed call, milliseconds. A pause ends early when relays are lost meanwhile. */
 const PAUSE_STEP_MILLISECONDS = 100;
 
 /**
@@ -289,12 +289,20 @@
             : "region";
     };
 
-    /** Waits for a time, or until a relay is lost, after which the store is read at once. */
-    const pauseReading = async (milliseconds: number): Promise<void> => {
-        const until = clock.now() + milliseconds;
+    /** Waits before the next call, for as long as the relays that can be reached allow, or until a relay is lost. */
+    const pauseReading = async (failures: number): Promise<void> => {
+        const startedAt = clock.now();
         const losses = relayLosses;
-        while (clock.now() < until && losses === relayLosses && !stopped) {
-            await delay(Math.min(PAUSE_STEP_MILLISECONDS, until - clock.now()));
+        const position = options.random();
+        const remaining = (): number => {
+            const state = { failures, relayReach: relayReach(), nodeCount: options.nodeCount() };
+            return startedAt + retryPause(state, () => position) - clock.now();
+        };
+        for (let left = remaining(); left > 0; left = remaining()) {
+            if (losses !== relayLosses || stopped) {
+                return;
+            }
+            await delay(Math.min(PAUSE_STEP_MILLISECONDS, left));
         }
     };
 
@@ -342,10 +350,7 @@
                 wasCurrent = false;
                 updateConnection({ table, error: (error as Error).message });
                 failures += 1;
-                const nodeCount = options.nodeCount();
-                await pauseReading(
-                    retryPause({ failures, relayReach: relayReach(), nodeCount }, options.random),
-                );
+                await pauseReading(failures);
             }
         }
     };
