Let nodes clear prompt parts before they are blamed

Cause: other nodes know that a part was answered, and say so when they hear of its crash. With the news bounded they heard of few, while aggregating nodes, and nodes that saw several crashes themselves, knew enough of them to blame the part. Each quarantine is written to the store for all.

Change: crashes with a prompt part go to all nodes, suspects that nobody knows yet first; aggregating nodes leave out what they know to be answered, and learn of crashes when they pass them on; answers are not held back. A part is blamed 250 ms after its first crash at the earliest.

--- a/src/node/quarantine/blame.ts
+++ b/src/node/quarantine/blame.ts
@@ -17,6 +17,7 @@
 export interface Blame {
     /** Crashes that the suspect explains. */
     readonly crashes: number;
+    readonly firstCrashAt: number;
     readonly lastCrashAt: number;
 }
 
@@ -35,6 +36,7 @@
 interface Tally {
     readonly id: string;
     crashes: number;
+    readonly firstCrashAt: number;
     lastCrashAt: number;
     position: number;
 }
@@ -43,7 +45,13 @@
     const tallies = new Map<string, Tally>();
     for (const { at, suspects } of crashes) {
         for (const [id, position] of suspects) {
-            const tally = tallies.get(id) ?? { id, crashes: 0, lastCrashAt: -Infinity, position };
+            const tally = tallies.get(id) ?? {
+                id,
+                crashes: 0,
+                firstCrashAt: at,
+                lastCrashAt: -Infinity,
+                position,
+            };
             if (at - tally.lastCrashAt >= SIMULTANEOUS_MILLISECONDS) {
                 tally.crashes += 1;
                 tally.lastCrashAt = at;
@@ -75,7 +83,8 @@
         if (best === undefined || best.crashes < CRASHES_TO_SUSPECT) {
             return blamed;
         }
-        blamed.set(best.id, { crashes: best.crashes, lastCrashAt: best.lastCrashAt });
+        const { id, crashes: explained, firstCrashAt, lastCrashAt } = best;
+        blamed.set(id, { crashes: explained, firstCrashAt, lastCrashAt });
         unexplained = unexplained.filter(({ suspects }) => !suspects.has(best.id));
     }
 }
--- a/src/node/quarantine/crash-evidence.ts
+++ b/src/node/quarantine/crash-evidence.ts
@@ -32,6 +32,8 @@
     recordResponse(process: string, sentAt: number): void;
     /** Records that an upstream has answered these suspects. */
     recordAnswer(suspects: readonly Suspect[], now: number): void;
+    /** Whether a suspect was answered before a crash, or since. */
+    isCleared(suspect: string, crashedAt: number): boolean;
     /** Monotonic time at which a suspect was last answered, as far as this node knows. */
     answeredAt(suspect: string): number | undefined;
     /** Suspects that explain the crashes of the last minute. */
@@ -188,7 +190,13 @@
         const merged = new Map([...(known?.suspects ?? []), ...suspects].slice(0, MAXIMUM_SUSPECTS));
         const refuted = isRefuted || known?.isRefuted === true;
         if (known === undefined || merged.size > known.suspects.size || refuted !== known.isRefuted) {
-            observed.set(process, { at, suspects: merged, isRefuted: refuted, state: UNREPORTED });
+            const observedAt = Math.min(at, known?.at ?? Infinity);
+            observed.set(process, {
+                at: observedAt,
+                suspects: merged,
+                isRefuted: refuted,
+                state: UNREPORTED,
+            });
         }
     };
 
@@ -244,6 +252,7 @@
                 }
             }
         },
+        isCleared: isInnocent,
         answeredAt: suspect => answersOf(suspect).get(suspect),
         blamed: now =>
             blameSuspects(
--- a/src/node/quarantine/quarantine.ts
+++ b/src/node/quarantine/quarantine.ts
@@ -13,7 +13,7 @@
 import { createCrashEvidence } from "./crash-evidence.js";
 import type { WireEvidence } from "./crash-evidence.js";
 import { createServingServices } from "./answer-progress.js";
-import { subjectOf, withAnswerSuspects, withinAnswer } from "./suspects.js";
+import { kindOfSuspect, subjectOf, withAnswerSuspects, withinAnswer } from "./suspects.js";
 import type { Suspect } from "./suspects.js";
 
 /** `age` is the time since the last crash, milliseconds. */
@@ -55,6 +55,8 @@
     /** Records an answer that ended whole, or went on well after its first event. */
     recordSurvival(service: string, parts: readonly Suspect[], now: number): void;
     merge(report: QuarantineReport, now: number): void;
+    /** A report without the suspects that this node knows to be answered. */
+    withoutCleared(report: QuarantineReport, now: number): QuarantineReport;
     /** Report for the other nodes; `undefined` when there is nothing to report. */
     report(now: number): QuarantineReport | undefined;
     /** Adds a suspect that another node wrote to the store. */
@@ -98,7 +100,10 @@
 const SETTLED_MILLISECONDS = 2500;
 
 /** Interval at which the suspects under suspicion are evaluated without new evidence, milliseconds. */
-const EVALUATION_MILLISECONDS = 1000;
+const EVALUATION_MILLISECONDS = 100;
+
+/** Time from the first crash with a prompt part in which nodes may report that it was answered, milliseconds. */
+const CLEARING_MILLISECONDS = 250;
 
 const MAXIMUM_QUARANTINED_SUSPECTS = 256;
 const MAXIMUM_REPORTED_SUSPECTS = 16;
@@ -175,8 +180,10 @@
                 remove(suspect, "later evidence does not support the blame");
             }
         }
-        for (const [suspect, { crashes, lastCrashAt }] of blamed) {
-            if (crashes >= CRASHES_TO_QUARANTINE) {
+        for (const [suspect, { crashes, firstCrashAt, lastCrashAt }] of blamed) {
+            const isClearable = kindOfSuspect(suspect) === "prompt part";
+            const mayBeCleared = isClearable && now - firstCrashAt < CLEARING_MILLISECONDS;
+            if (crashes >= CRASHES_TO_QUARANTINE && !mayBeCleared) {
                 add(suspect, lastCrashAt, { at: now, crashes });
             }
         }
@@ -261,6 +268,14 @@
                 }
             }
         },
+        withoutCleared: (report, now) => ({
+            ...report,
+            crashes: report.crashes.flatMap(([process, age, refuted, suspects]) => {
+                const remaining = suspects.filter(([id]) => !evidence.isCleared(id, now - age));
+                const isEmpty = remaining.length === 0 && refuted === 0;
+                return isEmpty ? [] : [[process, age, refuted, remaining] as const];
+            }),
+        }),
         report: now => {
             evaluate(now);
             const news = evidence.news(now);
--- a/src/node/upstream-table/__tests__/crash-news.spec.ts
+++ b/src/node/upstream-table/__tests__/crash-news.spec.ts
@@ -99,6 +99,36 @@
     assert.deepEqual([...new Set(difference)], [0]);
 });
 
+for (const { size, dataCentres } of [
+    { size: 17, dataCentres: 4 },
+    { size: 60, dataCentres: 6 },
+    { size: 195, dataCentres: 6 },
+]) {
+    test(`${size} nodes put no part into quarantine that some of them know to be answered`, async context => {
+        const play = await createQuarantineFleet(context, size, dataCentres);
+        const random = createSeededRandom(size);
+        for (let part = 0; part < 450; part += 1) {
+            const aware = play.quarantines.filter(() => random() < 0.1);
+            [...aware, play.quarantines[part % size]!].forEach(quarantine =>
+                quarantine.recordAnswer([{ id: `part-${part}`, position: 1 }], Date.now()),
+            );
+        }
+        const quarantined = new Set<string>();
+        const collect = (): void =>
+            play.quarantines.forEach(quarantine =>
+                [...quarantine.entries().keys()].forEach(suspect => quarantined.add(suspect)),
+            );
+        await flapUpstreams(
+            play,
+            { seconds: 4, crashesPerSecond: Math.round(size / 10), requestsPerCrash: 8 },
+            collect,
+        );
+        await play.fleet.advance(500);
+        collect();
+        assert.deepEqual([...quarantined], []);
+    });
+}
+
 const DEADLY = requestSuspectOf("deadly");
 
 /** Lets a request crash upstreams, each time seen by one of these nodes. */
--- a/src/node/upstream-table/__tests__/load-aggregation.spec.ts
+++ b/src/node/upstream-table/__tests__/load-aggregation.spec.ts
@@ -13,7 +13,7 @@
 import { createLoadBoard } from "../load-board.js";
 import type { LoadEntry } from "../load-board.js";
 import { createLoadReports } from "../load-reports.js";
-import { createFleet } from "./load-report-fleet.js";
+import { NO_QUARANTINE, createFleet } from "./load-report-fleet.js";
 import type { Fleet, TestNode } from "./load-report-fleet.js";
 
 const requestsAt = (node: TestNode, upstream: string): number =>
@@ -301,7 +301,7 @@
             plan: createAggregationPlans(entry, () => entries),
             board,
             ejected: () => [],
-            quarantine: { report: () => undefined, merge: () => undefined },
+            quarantine: NO_QUARANTINE,
             limits: { report: () => undefined, merge: () => undefined },
             brittle: createBrittleServices(),
             isIsolated: () => false,
@@ -351,7 +351,7 @@
         }),
         board,
         ejected: () => [],
-        quarantine: { report: () => undefined, merge: () => undefined },
+        quarantine: NO_QUARANTINE,
         limits: { report: () => undefined, merge: () => undefined },
         brittle: createBrittleServices(),
         isIsolated: () => false,
--- a/src/node/upstream-table/__tests__/load-report-fleet.ts
+++ b/src/node/upstream-table/__tests__/load-report-fleet.ts
@@ -48,16 +48,20 @@
     readonly quarantineOf?: (node: string, reports: () => LoadReports) => LoadReportOptions["quarantine"];
 }
 
+/** Has no evidence. */
+export const NO_QUARANTINE: LoadReportOptions["quarantine"] = {
+    report: () => undefined,
+    merge: () => undefined,
+    withoutCleared: report => report,
+};
+
 const SETTLING_MILLISECONDS = 2500;
 
 export async function createFleet(
     context: TestContext,
     size: number,
     dataCentres: number,
-    {
-        aggregates = () => true,
-        quarantineOf = () => ({ report: () => undefined, merge: () => undefined }),
-    }: FleetOptions = {},
+    { aggregates = () => true, quarantineOf = () => NO_QUARANTINE }: FleetOptions = {},
 ): Promise<Fleet> {
     context.mock.timers.enable({ apis: ["setTimeout", "setInterval", "Date"] });
     const random = createSeededRandom(size);
--- a/src/node/upstream-table/__tests__/waiting-in-reports.spec.ts
+++ b/src/node/upstream-table/__tests__/waiting-in-reports.spec.ts
@@ -10,6 +10,7 @@
 import { createLoadBoard } from "../load-board.js";
 import { createLoadReports } from "../load-reports.js";
 import type { LoadReportOptions } from "../load-reports.js";
+import { NO_QUARANTINE } from "./load-report-fleet.js";
 
 const ADDRESSES = ["127.0.0.1", "127.0.0.2"] as const;
 
@@ -35,7 +36,7 @@
         port,
         board,
         ejected: () => [],
-        quarantine: { report: () => undefined, merge: () => undefined },
+        quarantine: NO_QUARANTINE,
         limits: { report: () => undefined, merge: () => undefined },
         brittle: { report: () => undefined, merge: () => undefined },
         isIsolated: () => false,
@@ -85,7 +86,7 @@
         port,
         board: createLoadBoard(),
         ejected: () => [],
-        quarantine: { report: () => undefined, merge: () => undefined },
+        quarantine: NO_QUARANTINE,
         limits: { report: () => undefined, merge: () => undefined },
         brittle: { report: () => undefined, merge: () => undefined },
         isIsolated: () => false,
--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -177,7 +177,7 @@
     /** Ids of the upstreams that this node has ejected. */
     readonly ejected: () => readonly string[];
     /** Evidence about prompts that crash upstreams, which the reports carry. */
-    readonly quarantine: Pick<Quarantine, "report" | "merge">;
+    readonly quarantine: Pick<Quarantine, "report" | "merge" | "withoutCleared">;
     /** Limits that upstreams name, which the reports carry. */
     readonly limits: Pick<UpstreamLimits, "report" | "merge">;
     /** Services whose upstreams rejections crash, which the reports carry. */
@@ -279,7 +279,9 @@
                 options.countSent?.("news", Buffer.byteLength(datagram) * addresses.length);
             }
         };
-        send(newsForMembers.take(now), own);
+        const contents = newsForMembers.take(now);
+        contents.forEach(content => merge(content, now));
+        send(contents, own);
         send(newsForOthers.take(now), remote);
     };
 
@@ -316,10 +318,12 @@
         return isAggregated && rank < AGGREGATORS;
     };
 
-    const passOn = (news: WireNews, isOfDataCentre: boolean, now: number): void => {
+    const passOn = (reported: WireNews, isOfDataCentre: boolean, now: number): void => {
         if (!collectsNews()) {
             return;
         }
+        const quarantine = reported.quarantine && options.quarantine.withoutCleared(reported.quarantine, now);
+        const news = { ...reported, quarantine };
         const hasOwn = newsForMembers.add(news, now);
         const hasRemote = isOfDataCentre && newsForOthers.add(news, now);
         if ((hasOwn || hasRemote) && isOpen && aggregation.isAggregating(now)) {
@@ -349,6 +353,19 @@
         }
     };
 
+    /**
+     * Learns news that others of the data centre may not have, and passes it on.
+     *
+     * This node learns of crashes when it passes them on, with the others. It would know of more of them, and blame
+     * suspects before those who know that they were answered have heard of them.
+     */
+    const receiveNews = (news: WireNews, isOfDataCentre: boolean, now: number): void => {
+        const { quarantine } = news;
+        const hasToWait = quarantine !== undefined && collectsNews();
+        merge(hasToWait ? { ...news, quarantine: { ...quarantine, crashes: [] } } : news, now);
+        passOn(news, isOfDataCentre, now);
+    };
+
     const receiveReport = ([node, entries, ejected, news]: WireReport, now: number): void => {
         const loads = new Map(
             entries.map(([id, pendingTokens, requests, heldTokens]): [string, Load] => [
@@ -365,8 +382,7 @@
             sendSumsSoon(now);
         }
         if (news !== undefined) {
-            merge(news, now);
-            passOn(news, options.plan().members.has(node), now);
+            receiveNews(news, options.plan().members.has(node), now);
         }
     };
 
@@ -385,9 +401,11 @@
                 return;
             case "news": {
                 const news = wireNews.parse(message.news);
-                merge(news, now);
-                if (!options.plan().members.has(message.sender)) {
-                    passOn(news, false, now);
+                if (options.plan().members.has(message.sender)) {
+                    merge(news, now);
+                }
+                else {
+                    receiveNews(news, false, now);
                 }
             }
         }
--- a/src/node/upstream-table/news-relay.ts
+++ b/src/node/upstream-table/news-relay.ts
@@ -6,10 +6,12 @@
  * once. Each item is passed on with its age increased by the time that it waited.
  *
  * What is passed on is bounded. Evidence of crashes, of which callers can cause any amount, waits when there is more;
- * all other news goes first. A suspect is blamed for several crashes only, so nodes that do not aggregate get those
- * crashes that have a suspect in common.
+ * all other news goes first. A request is blamed for several crashes only, so nodes that do not aggregate get its
+ * crashes from the second one on. They get each crash with a prompt part, since any of them may know that it was
+ * answered.
  */
 import { createBoundedMap } from "../common/bounded-map.js";
+import { kindOfSuspect } from "../quarantine/suspects.js";
 
 /** Time after which an item is passed on once more, in case datagrams were lost, milliseconds. */
 const FIRST_REPEAT_MILLISECONDS = 200;
@@ -27,7 +29,7 @@
 const MAXIMUM_DATAGRAM_CHARACTERS = 6000;
 
 /** Evidence of crashes that a receiver gets a second, characters: within what a node may use for control. */
-const EVIDENCE_CHARACTERS_PER_SECOND = 1500;
+const EVIDENCE_CHARACTERS_PER_SECOND = 2000;
 
 /** The same for receivers that aggregate, of which there are few. */
 const AGGREGATOR_EVIDENCE_CHARACTERS_PER_SECOND = 5000;
@@ -39,14 +41,20 @@
 const DATAGRAM_CHARACTERS = 100;
 const MINIMUM_EVIDENCE_CHARACTERS = 300;
 
+/** Characters of a crash beside its suspects, which are sent once for all of them. */
+const JOINED_CRASH_CHARACTERS = 20;
+
 /** Items of evidence that wait at most, and time for which they do, milliseconds: as long as a crash counts. */
 const MAXIMUM_WAITING_EVIDENCE = 1024;
 const EVIDENCE_WAIT_MILLISECONDS = 60_000;
 
 const CRASH_LIST = "quarantine.crashes";
 
+/** Answers are evidence, too, but there are no more of them than of crashes that were passed on. */
+const ANSWER_LIST = "quarantine.answers";
+
 /** Lists that wait when there is more than each receiver may get. */
-const EVIDENCE_LISTS: readonly string[] = [CRASH_LIST, "quarantine.answers", "quarantine.quarantined"];
+const EVIDENCE_LISTS: readonly string[] = [CRASH_LIST, "quarantine.quarantined"];
 
 /** Position of the age within the items of a list; other lists have no ages. */
 const AGE_POSITIONS: Readonly<Record<string, number>> = {
@@ -186,6 +194,8 @@
     }>(MAXIMUM_KNOWN_ITEMS);
     /** Items that are to be passed on, by what they are about. */
     const pending = new Map<string, NewsItem>();
+    /** Suspects whose crashes were passed on. */
+    const passedSuspects = createBoundedMap<true>(MAXIMUM_KNOWN_ITEMS);
     /** Processes that crashed with a suspect, the first two. */
     const crashedWith = createBoundedMap<ReadonlySet<string>>(MAXIMUM_KNOWN_ITEMS);
     let allowance = maximumAllowance;
@@ -223,31 +233,54 @@
         return true;
     };
 
-    /** Whether an item is more than a crash whose suspect is known from no other one. */
-    const tellsMore = ({ path, value }: NewsItem): boolean => {
+    /** Whether several crashes with the suspect of an item are known, or the item is no crash. */
+    const isUrgent = ({ path, value }: NewsItem): boolean => {
         const suspects = path.join(".") === CRASH_LIST ? (value as WireCrash)[3] : [];
         return (
             suspects.length === 0 || suspects.some(([suspect]) => (crashedWith.get(suspect)?.size ?? 0) > 1)
         );
     };
 
-    /** Removes and returns the evidence that each receiver may get now. Among equals, the newest goes first. */
+    const isForMembers = (item: NewsItem): boolean =>
+        isUrgent(item) ||
+        (item.value as WireCrash)[3].some(([suspect]) => kindOfSuspect(suspect) === "prompt part");
+
+    const isNewSuspect = ({ path, value }: NewsItem): boolean =>
+        path.join(".") === CRASH_LIST &&
+        (value as WireCrash)[3].some(([suspect]) => passedSuspects.get(suspect) === undefined);
+
+    /**
+     * Removes and returns the evidence that each receiver may get now: what is urgent, first of it the suspects that
+     * the receivers do not know and may clear, then the rest. Among equals, the newest goes first.
+     */
     const takeEvidence = (now: number): readonly NewsItem[] => {
         const elapsed = now - allowanceAt;
         allowanceAt = now;
         allowance = Math.min(maximumAllowance, allowance + (charactersPerSecond * elapsed) / 1000);
         const newest = [...pending].filter(([, item]) => isEvidence(item)).reverse();
-        const first = newest.filter(([, item]) => tellsMore(item));
-        const ordered = [...new Set([...first, ...newest])];
+        const urgent = newest.filter(([, item]) => isUrgent(item));
+        const first = urgent.filter(([, item]) => isNewSuspect(item));
+        const ordered = [...new Set([...first, ...urgent, ...newest])];
         const taken: NewsItem[] = [];
+        const processes = new Set<unknown>();
         const mayTake = allowance >= MINIMUM_EVIDENCE_CHARACTERS;
-        for (const [key, item] of receivers === "members" ? first : ordered) {
+        for (const [key, item] of ordered) {
             if (!mayTake || allowance <= 0) {
                 break;
             }
-            allowance -= item.length + (taken.length === 0 ? DATAGRAM_CHARACTERS : 0);
+            if (receivers === "members" && !isForMembers(item)) {
+                continue;
+            }
+            const [process] = item.value as readonly unknown[];
+            const isJoined = processes.has(process);
+            processes.add(process);
+            allowance -= item.length - (isJoined ? JOINED_CRASH_CHARACTERS : 0);
+            allowance -= taken.length === 0 ? DATAGRAM_CHARACTERS : 0;
             pending.delete(key);
             taken.push(item);
+            if (isNewSuspect(item)) {
+                (item.value as WireCrash)[3].forEach(([suspect]) => passedSuspects.set(suspect, true));
+            }
         }
         const waiting = ordered.filter(([key]) => pending.has(key));
         waiting
@@ -261,7 +294,10 @@
 
     const takeOthers = (): readonly NewsItem[] => {
         const taken = [...pending].filter(([, item]) => !isEvidence(item));
-        taken.forEach(([key]) => pending.delete(key));
+        for (const [key, { path, length }] of taken) {
+            pending.delete(key);
+            allowance -= path.join(".") === ANSWER_LIST ? length : 0;
+        }
         return taken.map(([, item]) => item);
     };
 
