Learn evidence from news that is taken, and nothing else twice

The first two nodes of a data centre learn of crashes when they pass them on. The second one, which only keeps them for a takeover, learns them now as well, and speeds, limits and waiting requests are no longer merged once more with a later age.

--- a/src/node/upstream-table/load-reports.ts
+++ b/src/node/upstream-table/load-reports.ts
@@ -268,6 +268,13 @@
     let sumsSentAt = -Infinity;
     let loggedRole = "member";
 
+    /** Takes the news for the data centre, and learns the evidence in it at the same time as the others. */
+    const takeForMembers = (now: number): readonly WireNews[] => {
+        const contents: readonly WireNews[] = newsForMembers.take(now);
+        contents.forEach(({ quarantine }) => merge({ quarantine }, now));
+        return contents;
+    };
+
     const sendNews = (): void => {
         const now = clock.now();
         newsSentAt = now;
@@ -279,9 +286,7 @@
                 options.countSent?.("news", Buffer.byteLength(datagram) * addresses.length);
             }
         };
-        const contents = newsForMembers.take(now);
-        contents.forEach(content => merge(content, now));
-        send(contents, own);
+        send(takeForMembers(now), own);
         send(newsForOthers.take(now), remote);
     };
 
@@ -356,8 +361,8 @@
     /**
      * Learns news that others of the data centre may not have, and passes it on.
      *
-     * This node learns of crashes when it passes them on, with the others. It would know of more of them, and blame
-     * suspects before those who know that they were answered have heard of them.
+     * A node that passes news on learns of crashes when the others do. Otherwise it would know of more crashes than
+     * they do, and blame suspects that they know to be answered before they have heard of them.
      */
     const receiveNews = (news: WireNews, isOfDataCentre: boolean, now: number): void => {
         const { quarantine } = news;
@@ -528,7 +533,7 @@
         }
         if (!isAggregating) {
             // The first node of the data centre passes it on.
-            newsForMembers.take(now);
+            takeForMembers(now);
             newsForOthers.take(now);
         }
         else {
